--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: build test lint fmt fmt-check demo ci clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test ./...
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+fmt-check:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) run ./...
+
+$(GOLANGCI):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+demo: build
+	$(BIN)/berylwharf-demo -bin $(BIN)
+
+ci: fmt-check lint test
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/resource/resource.go
@@ -0,0 +1,159 @@
+// Package resource defines the resources that operators declare: pools, services, customers, maintenance waves,
+// configuration and VM assignments. It validates them and encodes them canonically. It does no I/O.
+package resource
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"sort"
+
+	"github.com/pkg/errors"
+)
+
+// Kind names a type of resource.
+type Kind string
+
+// The kinds of resources.
+const (
+	KindPool     Kind = "pool"
+	KindService  Kind = "service"
+	KindCustomer Kind = "customer"
+	KindWave     Kind = "wave"
+	KindConfig   Kind = "config"
+	KindVM       Kind = "vm"
+)
+
+// Kinds returns all kinds in the order in which a set of resources is applied: a resource comes after those that it
+// names.
+func Kinds() []Kind {
+	return []Kind{KindConfig, KindPool, KindCustomer, KindService, KindVM, KindWave}
+}
+
+const (
+	// MaxSpecBytes bounds one encoded spec, so that a record stays well below the log's 1 MiB append.
+	MaxSpecBytes = 64 << 10
+	maxNameBytes = 63
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// Key identifies a resource.
+type Key struct {
+	Kind Kind   `json:"kind" cbor:"1,keyasint"`
+	Name string `json:"name" cbor:"2,keyasint"`
+}
+
+// String returns kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Less orders keys by kind, then name.
+func (k Key) Less(o Key) bool {
+	if k.Kind != o.Kind {
+		return k.Kind < o.Kind
+	}
+	return k.Name < o.Name
+}
+
+// Validate checks the kind and the name.
+func (k Key) Validate() error {
+	if _, ok := specs[k.Kind]; !ok {
+		return fmt.Errorf("unknown kind %q (permitted: pool, service, customer, wave, config, vm)", k.Kind)
+	}
+	if !namePattern.MatchString(k.Name) {
+		return fmt.Errorf("%s: name %q must match %s (at most %d characters)", k.Kind, k.Name, namePattern, maxNameBytes)
+	}
+	return nil
+}
+
+// Resource is one declared resource. Version is the log offset of the record that last changed it, 0 when the resource
+// was never accepted. Author names the operator or node that wrote that record.
+type Resource struct {
+	Key
+	Version uint64          `json:"version,omitempty"`
+	Author  string          `json:"author,omitempty"`
+	Spec    json.RawMessage `json:"spec"`
+}
+
+// Spec is the typed content of a resource.
+type Spec interface {
+	// Validate returns the first error found, naming the field and the permitted values.
+	Validate() error
+	// SetDefaults fills in fields that were left out.
+	SetDefaults()
+}
+
+var specs = map[Kind]func() Spec{
+	KindPool:     func() Spec { return new(Pool) },
+	KindService:  func() Spec { return new(Service) },
+	KindCustomer: func() Spec { return new(Customer) },
+	KindWave:     func() Spec { return new(Wave) },
+	KindConfig:   func() Spec { return new(Config) },
+	KindVM:       func() Spec { return new(VM) },
+}
+
+// Decode parses and validates a spec. Unknown fields, trailing data and values out of range are errors.
+func Decode(key Key, data []byte) (Spec, error) {
+	if err := key.Validate(); err != nil {
+		return nil, err
+	}
+	if len(data) > MaxSpecBytes {
+		return nil, fmt.Errorf("%s: spec has %d bytes, at most %d are permitted", key, len(data), MaxSpecBytes)
+	}
+	spec := specs[key.Kind]()
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(spec); err != nil {
+		return nil, errors.Wrapf(err, "%s: spec", key)
+	}
+	if dec.More() {
+		return nil, fmt.Errorf("%s: spec: data after the JSON value", key)
+	}
+	spec.SetDefaults()
+	if err := spec.Validate(); err != nil {
+		return nil, errors.Wrapf(err, "%s: spec", key)
+	}
+	return spec, nil
+}
+
+// Canonical validates a spec and returns its canonical JSON: defaults filled in, fields in a fixed order, no white
+// space. Equal specs have equal encodings.
+func Canonical(key Key, data []byte) ([]byte, error) {
+	spec, err := Decode(key, data)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(spec)
+}
+
+// ChangedFields returns the sorted names of the top-level fields that differ between two JSON objects.
+func ChangedFields(a, b []byte) ([]string, error) {
+	var ma, mb map[string]json.RawMessage
+	if err := decodeObject(a, &ma); err != nil {
+		return nil, err
+	}
+	if err := decodeObject(b, &mb); err != nil {
+		return nil, err
+	}
+	var fields []string
+	for k, va := range ma {
+		if vb, ok := mb[k]; !ok || !bytes.Equal(va, vb) {
+			fields = append(fields, k)
+		}
+	}
+	for k := range mb {
+		if _, ok := ma[k]; !ok {
+			fields = append(fields, k)
+		}
+	}
+	sort.Strings(fields)
+	return fields, nil
+}
+
+func decodeObject(data []byte, m *map[string]json.RawMessage) error {
+	if len(data) == 0 {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, m), "spec is not a JSON object")
+}
--- /dev/null
+++ b/routing/types.go
@@ -0,0 +1,26 @@
+package routing
+
+import "github.com/berylwharf/berylwharf/resource"
+
+// Backend is a backend server of a service: the server process on one worker.
+type Backend struct {
+	VM   string
+	Zone string
+	Rack string
+	Addr string // ip:port
+}
+
+// Service is a service with the backend servers that may get new work. Leaving, drained and unlisted VMs are not
+// contained.
+type Service struct {
+	Name     string
+	Spec     *resource.Service
+	Backends []Backend // sorted by VM
+}
+
+// Table is an immutable routing table, built from a state view and a VM list.
+type Table struct {
+	Services  map[string]*Service
+	Hosts     map[string]string // host to service name
+	Customers map[string]*resource.Customer
+}
--- /dev/null
+++ b/statelog/types.go
@@ -0,0 +1,103 @@
+package statelog
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/berylwharf/berylwharf/resource"
+)
+
+// Stream names in the platform's log service.
+const (
+	StreamConfig    = "config"
+	StreamSnapshots = "snapshots"
+)
+
+// RecordID identifies a record across retries of its append.
+type RecordID [16]byte
+
+// String returns the identifier as 32 hexadecimal digits.
+func (id RecordID) String() string { return hex.EncodeToString(id[:]) }
+
+// ParseRecordID parses 32 hexadecimal digits.
+func ParseRecordID(s string) (RecordID, error) {
+	var id RecordID
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(id) {
+		return id, fmt.Errorf("record identifier %q must be %d hexadecimal digits", s, 2*len(id))
+	}
+	copy(id[:], b)
+	return id, nil
+}
+
+// Op is what a record does.
+type Op uint8
+
+// The operations of records.
+const (
+	OpPut    Op = 1 // put a resource
+	OpDelete Op = 2 // delete a resource
+	OpJoin   Op = 3 // add a member, or replace its older incarnation
+	OpLeave  Op = 4 // remove a member
+)
+
+// Record is one entry of the config stream. Put and Delete use Key, Base and Spec; Join and Leave use Member, with Base
+// naming the member's version (0 when the member is unknown).
+type Record struct {
+	ID       RecordID     `cbor:"1,keyasint"`
+	Op       Op           `cbor:"2,keyasint"`
+	Key      resource.Key `cbor:"3,keyasint,omitempty"`
+	Base     uint64       `cbor:"4,keyasint,omitempty"`
+	ReadPos  uint64       `cbor:"5,keyasint"`
+	Author   string       `cbor:"6,keyasint,omitempty"`
+	Spec     []byte       `cbor:"7,keyasint,omitempty"`
+	Member   *Member      `cbor:"8,keyasint,omitempty"`
+	UnixMsec int64        `cbor:"9,keyasint,omitempty"` // writer's clock; for people, never for decisions
+}
+
+// Member is an entry node that may be a home of workers and request identifiers.
+type Member struct {
+	Node        string `json:"node" cbor:"1,keyasint"`
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint"` // greater for each start of the process
+	VM          string `json:"vm" cbor:"3,keyasint"`          // the node's name in the platform's VM list
+	Zone        string `json:"zone" cbor:"4,keyasint"`
+	Region      string `json:"region" cbor:"5,keyasint"`
+	PeerAddr    string `json:"peerAddr" cbor:"6,keyasint"`
+	// Version is the offset of the record that admitted this incarnation. It is set by the state machine.
+	Version uint64 `json:"version" cbor:"7,keyasint,omitempty"`
+}
+
+// Status is the outcome of a record under the accept rule.
+type Status uint8
+
+// The outcomes of records.
+const (
+	StatusAccepted  Status = 1
+	StatusConflict  Status = 2 // the base version is not the current version
+	StatusStale     Status = 3 // the read position is too old
+	StatusMalformed Status = 4
+)
+
+// String returns the status in lower case.
+func (s Status) String() string {
+	switch s {
+	case StatusAccepted:
+		return "accepted"
+	case StatusConflict:
+		return "conflict"
+	case StatusStale:
+		return "stale"
+	case StatusMalformed:
+		return "malformed"
+	}
+	return fmt.Sprintf("status(%d)", uint8(s))
+}
+
+// Outcome is what became of a record. A duplicate has the outcome of the first record with its identifier.
+type Outcome struct {
+	ID      RecordID
+	Status  Status
+	Offset  uint64 // offset of the record that decided
+	Current uint64 // on conflict: the resource's version at that offset, 0 when it did not exist
+	Message string // on malformed: what is wrong
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,131 @@
+// Package verdict states what is known about a request that did not complete: whether it may have run at a backend
+// server.
+//
+// Every error that reaches a caller carries a Verdict. NotRun is a promise that no byte of the request reached a backend
+// server under its request identifier; anything less certain is MayHaveRun.
+package verdict
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Header is the response header that carries the verdict of an answer that is not a backend server's own.
+const Header = "Berylwharf-Verdict"
+
+// Verdict tells whether a request may have run.
+type Verdict string
+
+const (
+	// NotRun states that the request did not run and will not run.
+	NotRun Verdict = "not-run"
+	// MayHaveRun states that the request may have run, completely or in part.
+	MayHaveRun Verdict = "may-have-run"
+)
+
+// Reason is a machine-readable cause of a refusal. Values are stable and documented in docs/interface.md.
+type Reason string
+
+// Reasons of refusals, grouped by the part that refuses.
+const (
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonUnknownService   Reason = "unknown-service"
+	ReasonUnknownCustomer  Reason = "unknown-customer"
+	ReasonTooLarge         Reason = "request-too-large"
+	ReasonIdentifierReused Reason = "identifier-reused"
+	ReasonIdentifierFuture Reason = "identifier-in-future"
+
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonQuota           Reason = "quota-exceeded"
+	ReasonDeadlineTooNear Reason = "deadline-cannot-be-met"
+	ReasonDraining        Reason = "draining"
+	ReasonNotReady        Reason = "not-ready"
+
+	ReasonNoBackend        Reason = "no-backend-server"
+	ReasonDialFailed       Reason = "backend-server-unreachable"
+	ReasonConnectionBroken Reason = "connection-broken"
+	ReasonDeadline         Reason = "deadline-exceeded"
+	ReasonTruncated        Reason = "answer-truncated"
+	ReasonAnswerMismatch   Reason = "answer-mismatch"
+	ReasonAnswerInvalid    Reason = "answer-invalid"
+
+	ReasonDuplicate        Reason = "duplicate-in-progress"
+	ReasonDuplicateDone    Reason = "duplicate-completed"
+	ReasonClaimUnknown     Reason = "earlier-attempt-unknown"
+	ReasonClaimUnreachable Reason = "claim-home-unreachable"
+	ReasonInternal         Reason = "internal"
+)
+
+// Error is a refusal with its verdict. Status is the HTTP status sent to the caller. RetryAfter is zero when no time can
+// be named.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	Message    string
+	Status     int
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// New returns a refusal without a cause.
+func New(v Verdict, r Reason, status int, message string) *Error {
+	return &Error{Verdict: v, Reason: r, Status: status, Message: message}
+}
+
+// Wrap returns a refusal that keeps its cause for logs. The cause is not sent to the caller.
+func Wrap(cause error, v Verdict, r Reason, status int, message string) *Error {
+	return &Error{Verdict: v, Reason: r, Status: status, Message: message, Cause: cause}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := string(e.Verdict) + ": " + string(e.Reason) + ": " + e.Message
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// From returns err as a refusal. An error of another type becomes MayHaveRun, because nothing is known about it.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, MayHaveRun, ReasonInternal, http.StatusBadGateway, "internal error")
+}
+
+// Body is the JSON body of a refusal.
+type Body struct {
+	Verdict      Verdict `json:"verdict"`
+	Reason       Reason  `json:"reason"`
+	Message      string  `json:"message"`
+	Service      string  `json:"service,omitempty"`
+	RequestID    string  `json:"requestId,omitempty"`
+	RetryAfterMs int64   `json:"retryAfterMs,omitempty"`
+}
+
+// Write sends the refusal to the caller with its status, header and JSON body.
+func (e *Error) Write(w http.ResponseWriter, service, requestID string) {
+	h := w.Header()
+	h.Set(Header, string(e.Verdict))
+	h.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(e.Status)
+	body := Body{
+		Verdict: e.Verdict, Reason: e.Reason, Message: e.Message,
+		Service: service, RequestID: requestID, RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+	// The caller may have closed the connection; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
