--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
 
 lint: $(GOLANGCI)
-	$(GOLANGCI) run ./...
+	$(GOLANGCI) run --allow-parallel-runners ./...
 
 $(GOLANGCI):
 	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
