Add package settings

Cause: the daemon needs its settings checked in full before it starts, and no secret may reach a log. Change: settings.Load and settings.Parse read JSON with comments. A key table gives type, bounds and permitted values. All problems of a file are reported, one line each with file, line, key and permitted values. Secrets are hidden in every format. resource.ValidName is added for node and VM names.

--- a/resource/resource.go
+++ b/resource/resource.go
@@ -48,6 +48,9 @@
 // String returns kind/name.
 func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
 
+// ValidName reports whether s may be the name of a resource, a node or a VM.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
 // Less orders keys by kind, then name.
 func (k Key) Less(o Key) bool {
 	if k.Kind != o.Kind {
--- /dev/null
+++ b/settings/fields.go
@@ -0,0 +1,327 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/berylwharf/berylwharf/resource"
+)
+
+// field is one key of the file.
+type field struct {
+	key       string // with its section, for example "peers.key"
+	required  bool
+	permitted string
+	// set stores the value and returns what is wrong with it, or "".
+	set func(s *Settings, v hujson.Value) string
+}
+
+// section returns the prefix of the key up to and including the dot, "" at the top level.
+func (f *field) section() string { return f.key[:strings.LastIndexByte(f.key, '.')+1] }
+
+const (
+	permittedName    = "1 to 63 of a-z, 0-9, '.' and '-', first and last a letter or digit"
+	permittedListen  = "an IP address with a port, for example 127.0.0.1:8080"
+	permittedSecret  = "16 to 256"
+	permittedAllow   = "1 to 64 networks, for example 10.0.0.0/8"
+	permittedPeers   = "at most 64 IP addresses with ports from 1 to 65535"
+	permittedURL     = "http://IP:port or https://IP:port"
+	permittedLevel   = "debug, info, warn, error"
+	permittedFormats = "text, json"
+
+	minSecret = 16
+	maxSecret = 256
+	maxList   = 64
+
+	minHeaderBytes = 4 << 10
+	maxHeaderBytes = 1 << 20
+)
+
+// fields lists all keys in the order of the documentation.
+var fields = []field{
+	text("node", true, permittedName, nameProblem, func(s *Settings) *string { return &s.Node }),
+	text("vm", false, permittedName, nameProblem, func(s *Settings) *string { return &s.VM }),
+	text("zone", true, permittedName, nameProblem, func(s *Settings) *string { return &s.Zone }),
+	text("region", true, permittedName, nameProblem, func(s *Settings) *string { return &s.Region }),
+	listen("callers.listen", func(s *Settings) *netip.AddrPort { return &s.Callers.Listen }),
+	number("callers.maxHeaderBytes", minHeaderBytes, maxHeaderBytes, func(s *Settings) *int { return &s.Callers.MaxHeaderBytes }),
+	listen("operators.listen", func(s *Settings) *netip.AddrPort { return &s.Operators.Listen }),
+	secret("operators.token", false, func(s *Settings) *Secret { return &s.Operators.Token }),
+	networks("operators.allow", func(s *Settings) *[]netip.Prefix { return &s.Operators.Allow }),
+	listen("peers.listen", func(s *Settings) *netip.AddrPort { return &s.Peers.Listen }),
+	secret("peers.key", true, func(s *Settings) *Secret { return &s.Peers.Key }),
+	networks("peers.allow", func(s *Settings) *[]netip.Prefix { return &s.Peers.Allow }),
+	{key: "peers.addresses", permitted: permittedPeers, set: setPeerAddresses},
+	listen("admin.listen", func(s *Settings) *netip.AddrPort { return &s.Admin.Listen }),
+	text("platform.url", true, permittedURL, urlProblem, func(s *Settings) *string { return &s.Platform.URL }),
+	duration("platform.pollInterval", 10*time.Millisecond, 2*time.Second, func(s *Settings) *time.Duration { return &s.Platform.PollInterval }),
+	duration("platform.logRetention", time.Second, 8760*time.Hour, func(s *Settings) *time.Duration { return &s.Platform.LogRetention }),
+	text("log.level", false, permittedLevel, oneOf(permittedLevel), func(s *Settings) *string { return &s.Log.Level }),
+	text("log.format", false, permittedFormats, oneOf(permittedFormats), func(s *Settings) *string { return &s.Log.Format }),
+	duration("shutdownTimeout", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.ShutdownTimeout }),
+}
+
+func findField(key string) *field {
+	for i := range fields {
+		if fields[i].key == key {
+			return &fields[i]
+		}
+	}
+	return nil
+}
+
+// sections returns the names of the sections in the order of the documentation.
+func sections() []string {
+	var names []string
+	for i := range fields {
+		name := strings.TrimSuffix(fields[i].section(), ".")
+		if name != "" && (len(names) == 0 || names[len(names)-1] != name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func isSection(key string) bool {
+	for _, s := range sections() {
+		if s == key {
+			return true
+		}
+	}
+	return false
+}
+
+// permittedKeys lists the keys of a section, or those of the top level with the names of the sections.
+func permittedKeys(prefix string) string {
+	var keys []string
+	for i := range fields {
+		if f := &fields[i]; f.section() == prefix {
+			keys = append(keys, strings.TrimPrefix(f.key, prefix))
+		}
+	}
+	if prefix == "" {
+		keys = append(keys, sections()...)
+	}
+	return strings.Join(keys, ", ")
+}
+
+// stringValue returns the string, or what is wrong with the type.
+func stringValue(v hujson.Value) (s, problem string) {
+	if v.Value.Kind() != '"' {
+		return "", "the value is " + kindName(v.Value.Kind()) + ", not a string"
+	}
+	return v.Value.(hujson.Literal).String(), ""
+}
+
+// stringList returns the strings of an array, or what is wrong with the type.
+func stringList(v hujson.Value) (list []string, problem string) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		return nil, "the value is " + kindName(v.Value.Kind()) + ", not an array"
+	}
+	for i, e := range array.Elements {
+		s, problem := stringValue(e)
+		if problem != "" {
+			return nil, fmt.Sprintf("entry %d: %s", i+1, problem)
+		}
+		list = append(list, s)
+	}
+	return list, ""
+}
+
+func text(key string, required bool, permitted string, check func(string) string, at func(*Settings) *string) field {
+	return field{key: key, required: required, permitted: permitted, set: func(s *Settings, v hujson.Value) string {
+		str, problem := stringValue(v)
+		if problem == "" {
+			problem = check(str)
+		}
+		if problem == "" {
+			*at(s) = str
+		}
+		return problem
+	}}
+}
+
+func listen(key string, at func(*Settings) *netip.AddrPort) field {
+	return field{key: key, required: true, permitted: permittedListen, set: func(s *Settings, v hujson.Value) string {
+		str, problem := stringValue(v)
+		if problem != "" {
+			return problem
+		}
+		addr, problem := parseAddr(str)
+		if problem == "" {
+			*at(s) = addr
+		}
+		return problem
+	}}
+}
+
+// parseAddr parses an IP address with a port. Host names are not accepted.
+func parseAddr(str string) (addr netip.AddrPort, problem string) {
+	addr, err := netip.ParseAddrPort(str)
+	if err != nil {
+		return addr, printable(str) + " is not an IP address with a port"
+	}
+	if addr.Addr().Zone() != "" {
+		return addr, printable(str) + " has an IPv6 zone"
+	}
+	return addr, ""
+}
+
+func setPeerAddresses(s *Settings, v hujson.Value) string {
+	list, problem := stringList(v)
+	if problem != "" {
+		return problem
+	}
+	if len(list) > maxList {
+		return fmt.Sprintf("%d entries", len(list))
+	}
+	addrs := make([]netip.AddrPort, 0, len(list))
+	for i, str := range list {
+		addr, problem := parseAddr(str)
+		if problem == "" && addr.Port() == 0 {
+			problem = printable(str) + " has port 0"
+		}
+		if problem != "" {
+			return fmt.Sprintf("entry %d: %s", i+1, problem)
+		}
+		addrs = append(addrs, addr)
+	}
+	s.Peers.Addresses = addrs
+	return ""
+}
+
+func networks(key string, at func(*Settings) *[]netip.Prefix) field {
+	return field{key: key, permitted: permittedAllow, set: func(s *Settings, v hujson.Value) string {
+		list, problem := stringList(v)
+		if problem != "" {
+			return problem
+		}
+		if len(list) < 1 || len(list) > maxList {
+			return fmt.Sprintf("%d entries", len(list))
+		}
+		prefixes := make([]netip.Prefix, 0, len(list))
+		for i, str := range list {
+			prefix, err := netip.ParsePrefix(str)
+			if err != nil {
+				return fmt.Sprintf("entry %d: %s is not a network", i+1, printable(str))
+			}
+			prefixes = append(prefixes, prefix.Masked())
+		}
+		*at(s) = prefixes
+		return ""
+	}}
+}
+
+// secret is a string whose value no message repeats.
+func secret(key string, required bool, at func(*Settings) *Secret) field {
+	return field{key: key, required: required, permitted: permittedSecret, set: func(s *Settings, v hujson.Value) string {
+		str, problem := stringValue(v)
+		if problem != "" {
+			return problem
+		}
+		if len(str) < minSecret || len(str) > maxSecret {
+			return fmt.Sprintf("%d characters", len(str))
+		}
+		for _, c := range []byte(str) {
+			if c <= ' ' || c > '~' {
+				return "a character other than printable ASCII without spaces"
+			}
+		}
+		*at(s) = Secret(str)
+		return ""
+	}}
+}
+
+func number(key string, low, high int, at func(*Settings) *int) field {
+	permitted := fmt.Sprintf("%d to %d", low, high)
+	return field{key: key, permitted: permitted, set: func(s *Settings, v hujson.Value) string {
+		if v.Value.Kind() != '0' {
+			return "the value is " + kindName(v.Value.Kind()) + ", not a number"
+		}
+		raw := string(v.Value.(hujson.Literal))
+		var n int
+		if err := json.Unmarshal([]byte(raw), &n); err != nil {
+			return printable(raw) + " is not an integer of this range"
+		}
+		if n < low || n > high {
+			return strconv.Itoa(n) + " is out of range"
+		}
+		*at(s) = n
+		return ""
+	}}
+}
+
+func duration(key string, low, high time.Duration, at func(*Settings) *time.Duration) field {
+	permitted := fmt.Sprintf("%s to %s, with the unit ms, s, m or h", short(low), short(high))
+	return field{key: key, permitted: permitted, set: func(s *Settings, v hujson.Value) string {
+		str, problem := stringValue(v)
+		if problem != "" {
+			return problem
+		}
+		d, err := time.ParseDuration(str)
+		if err != nil || !durationUnits.MatchString(str) {
+			return printable(str) + " is not a duration"
+		}
+		if d < low || d > high {
+			return printable(str) + " is out of range"
+		}
+		*at(s) = d
+		return ""
+	}}
+}
+
+// durationUnits admits the units ms, s, m and h. Smaller units have no use here and hide mistakes such as "1us".
+var durationUnits = regexp.MustCompile(`^-?([0-9.]+(ms|s|m|h))+$`)
+
+// short formats a duration without the zero units that time.Duration prints, such as "1h0m0s".
+func short(d time.Duration) string {
+	s := d.String()
+	s = strings.Replace(s, "m0s", "m", 1)
+	return strings.Replace(s, "h0m", "h", 1)
+}
+
+func nameProblem(s string) string {
+	if !resource.ValidName(s) {
+		return printable(s) + " is not a name"
+	}
+	return ""
+}
+
+func urlProblem(s string) string {
+	if strings.Contains(s, "@") {
+		return "the value contains a user name" // and perhaps a password, so it is not shown
+	}
+	u, err := url.Parse(s)
+	if err != nil {
+		return printable(s) + " is not a URL"
+	}
+	plain := url.URL{Scheme: u.Scheme, Host: u.Host}
+	if u.Scheme != "http" && u.Scheme != "https" || plain.String() != s {
+		return printable(s) + " is not of this form"
+	}
+	addr, problem := parseAddr(u.Host)
+	if problem == "" && addr.Port() == 0 {
+		problem = "port 0"
+	}
+	return problem
+}
+
+func oneOf(permitted string) func(string) string {
+	return func(s string) string {
+		for _, p := range strings.Split(permitted, ", ") {
+			if s == p {
+				return ""
+			}
+		}
+		return printable(s) + " is not known"
+	}
+}
