Add the operators' API and the command line

Cause: operators need to declare resources, see conflicts and learn the outcome of a change whose answer was lost. Change: package operator has the HTTP API on go-kit endpoints, access checks, reference checks, watch streams and a client that follows up unknown outcomes. Package command has the commands of berylwharf with their exit codes. Package operatortest has a store with faults for tests. In package resource, a spec that is null, names a field twice or is followed by a bracket is refused, sets are sorted, the canonical form is bounded by MaxSpecBytes, and errors of a field have the type FieldError.

--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,187 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/berylwharf/berylwharf/operator"
+	"github.com/berylwharf/berylwharf/operator/operatortest"
+	"github.com/berylwharf/berylwharf/resource"
+)
+
+// recordIDs matches identifiers that the client made, which differ in each run.
+var recordIDs = regexp.MustCompile(`[0-9a-f]{32}`)
+
+type fakeNodes struct{}
+
+func (fakeNodes) NodeStatuses() []operator.NodeStatus {
+	return []operator.NodeStatus{
+		{Node: "entry-b", VM: "e2", Zone: "zone-b", Region: "region-1", State: "silent", Member: true, Epoch: 2, Next: 7, LastHeardMs: 4200},
+		{Node: "entry-a", VM: "e1", Zone: "zone-a", Region: "region-1", Self: true, State: "not-ready", Epoch: 2, Next: 8, Message: "waits for a snapshot"},
+	}
+}
+
+// fixture is a server with a fake store and the means to run commands against it.
+type fixture struct {
+	store *operatortest.Store
+	url   string
+	dir   string
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{store: operatortest.New(), dir: t.TempDir()}
+	server := httptest.NewServer(operator.NewHandler(operator.Config{Store: f.store, Nodes: fakeNodes{}}))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	t.Setenv("BERYLWHARF_SERVER", f.url)
+	t.Setenv("BERYLWHARF_TOKEN", "")
+	t.Setenv("USER", "juan")
+	return f
+}
+
+// run returns the exit code and what was printed. Paths are relative to the fixture's directory.
+func (f *fixture) run(stdin string, args ...string) (code int, stdout, stderr string) {
+	var out, errOut bytes.Buffer
+	env := Env{Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &errOut, Wait: func(context.Context, time.Duration) error { return nil }}
+	code = Run(context.Background(), append([]string{"berylwharf"}, args...), env)
+	clean := func(s string) string {
+		s = strings.ReplaceAll(strings.ReplaceAll(s, f.dir+"/", ""), f.url, "URL")
+		return recordIDs.ReplaceAllString(s, "ID")
+	}
+	return code, clean(out.String()), clean(errOut.String())
+}
+
+// TestCommands guards against a change of what the commands print and of their exit codes. The cases in one file share
+// a store.
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata/commands", func(t *testing.T, path string) {
+		f := newFixture(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "store": // another operator
+				return f.other(t, d)
+			case "file":
+				name := filepath.Join(f.dir, d.CmdArgs[0].Key)
+				if err := os.WriteFile(name, []byte(d.Input+"\n"), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				return ""
+			case "run": // the command line stands on the first line, standard input after it
+				line, stdin, _ := strings.Cut(d.Input, "\n")
+				args := strings.Fields(strings.ReplaceAll(line, "DIR", f.dir))
+				code, stdout, stderr := f.run(stdin, args...)
+				out := stdout
+				if stderr != "" {
+					out += "stderr: " + stderr
+				}
+				return strings.ReplaceAll(out, "\n\n", "\n") + "exit " + string(rune('0'+code))
+			}
+			t.Fatalf("%s: unknown directive %s", d.Pos, d.Cmd)
+			return ""
+		})
+	})
+}
+
+// other changes the store as another operator or the log service would.
+func (f *fixture) other(t *testing.T, d *datadriven.TestData) string {
+	faults := map[string]operatortest.Fault{
+		"not-accepted": operatortest.NotAccepted, "lost-answer": operatortest.LostAnswer,
+		"lost-append": operatortest.LostAppend, "stale": operatortest.Stale,
+	}
+	for _, line := range strings.Split(d.Input, "\n") {
+		words := strings.SplitN(line, " ", 4)
+		switch words[0] {
+		case "fail":
+			for _, name := range strings.Fields(line)[1:] {
+				f.store.Fail(faults[name])
+			}
+		case "put":
+			f.store.Put("maria", resource.Kind(words[1]), words[2], words[3])
+		case "race":
+			f.store.Before(func() { f.store.Put("maria", resource.Kind(words[1]), words[2], words[3]) })
+		case "delete":
+			f.store.Delete(resource.Kind(words[1]), words[2])
+		default:
+			t.Fatalf("%s: %q", d.Pos, line)
+		}
+	}
+	return ""
+}
+
+// TestRoundTrip guards against a list printed as JSON that cannot be applied again.
+func TestRoundTrip(t *testing.T) {
+	f := newFixture(t)
+	f.store.Put("maria", resource.KindPool, "a", `{"description":"<b> & \"c\""}`)
+	f.store.Put("maria", resource.KindPool, "b", `{"minVMs":1}`)
+	_, list, _ := f.run("", "get", "pool", "-o", "json")
+	code, out, stderr := f.run(list, "apply", "-f", "-")
+	if code != ExitDone || out != "pool/a unchanged, version 1\npool/b unchanged, version 2\n" || f.store.Proposals() != 0 {
+		t.Errorf("exit %d, %s%s", code, out, stderr)
+	}
+}
+
+// TestServerDown guards against a failure to connect that is reported as an unknown outcome, or as not accepted when
+// nothing was to be changed.
+func TestServerDown(t *testing.T) {
+	f := newFixture(t)
+	server := httptest.NewServer(nil)
+	server.Close()
+	if code, _, stderr := f.run("", "get", "pool", "--server", server.URL); code != ExitError || !strings.Contains(stderr, "refused") {
+		t.Errorf("get: exit %d, %s", code, stderr)
+	}
+	dialFailed := &changeError{cause: &operator.TransportError{Cause: errors.New("refused")}}
+	if code := exitCode(dialFailed); code != ExitNotAccepted {
+		t.Errorf("change: exit %d", code)
+	}
+	broken := &changeError{cause: &operator.TransportError{MayHaveRun: true, Cause: errors.New("broken")}}
+	if code := exitCode(broken); code != ExitOutcomeUnknown {
+		t.Errorf("change: exit %d", code)
+	}
+}
+
+// TestWatch guards against a watch that misses a change or a deletion, or does not end when it is interrupted.
+func TestWatch(t *testing.T) {
+	f := newFixture(t)
+	f.store.Put("maria", resource.KindPool, "a", `{"minVMs":1}`)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out := &lineWriter{lines: make(chan string, 16)}
+	done := make(chan int, 1)
+	go func() {
+		done <- Run(ctx, []string{"berylwharf", "watch", "pool"}, Env{Stdout: out, Stderr: out})
+	}()
+	expect := func(want string) {
+		t.Helper()
+		if got := <-out.lines; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	expect("pool/a exists, version 1, by maria\n")
+	f.store.Put("juan", resource.KindPool, "a", `{"minVMs":2}`)
+	expect("pool/a changed, version 2, by juan: minVMs 1 -> 2\n")
+	f.store.Put("juan", resource.KindConfig, "c", `{}`) // another kind
+	f.store.Delete(resource.KindPool, "a")
+	expect("pool/a deleted\n")
+	cancel()
+	if code := <-done; code != ExitDone {
+		t.Errorf("exit %d", code)
+	}
+}
+
+type lineWriter struct{ lines chan string }
+
+func (w *lineWriter) Write(p []byte) (int, error) {
+	w.lines <- string(p)
+	return len(p), nil
+}
--- /dev/null
+++ b/command/completion.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	_ "embed" // the scripts
+
+	"github.com/urfave/cli/v2"
+)
+
+//go:embed completion.bash
+var bashCompletion string
+
+//go:embed completion.zsh
+var zshCompletion string
+
+func (r *runner) completion() *cli.Command {
+	return &cli.Command{
+		Name:      "completion",
+		Usage:     "print a completion script for the shell",
+		ArgsUsage: "bash|zsh",
+		BashComplete: func(c *cli.Context) {
+			if c.NArg() == 0 {
+				_, _ = c.App.Writer.Write([]byte("bash\nzsh\n"))
+			}
+		},
+		Action: func(c *cli.Context) error {
+			args, err := arguments(c, 1, 1)
+			if err != nil {
+				return err
+			}
+			script, ok := map[string]string{"bash": bashCompletion, "zsh": zshCompletion}[args[0]]
+			if !ok {
+				return usagef("shell %q (permitted: bash, zsh)", args[0])
+			}
+			_, err = r.env.Stdout.Write([]byte(script))
+			return err
+		},
+	}
+}
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"regexp"
 	"sort"
 
@@ -59,10 +60,18 @@
 	return k.Name < o.Name
 }
 
+// Validate checks that the kind is known.
+func (k Kind) Validate() error {
+	if _, ok := specs[k]; !ok {
+		return fmt.Errorf("unknown kind %q (permitted: pool, service, customer, wave, config, vm)", string(k))
+	}
+	return nil
+}
+
 // Validate checks the kind and the name.
 func (k Key) Validate() error {
-	if _, ok := specs[k.Kind]; !ok {
-		return fmt.Errorf("unknown kind %q (permitted: pool, service, customer, wave, config, vm)", k.Kind)
+	if err := k.Kind.Validate(); err != nil {
+		return err
 	}
 	if !namePattern.MatchString(k.Name) {
 		return fmt.Errorf("%s: name %q must match %s (at most %d characters)", k.Kind, k.Name, namePattern, maxNameBytes)
@@ -79,9 +88,22 @@
 	Spec    json.RawMessage `json:"spec"`
 }
 
+// FieldError is a value of one field that is not permitted.
+type FieldError struct {
+	Field   string
+	Problem string // with the permitted values
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Problem }
+
+func fieldErrorf(field, format string, args ...any) error {
+	return &FieldError{Field: field, Problem: fmt.Sprintf(format, args...)}
+}
+
 // Spec is the typed content of a resource.
 type Spec interface {
-	// Validate returns the first error found, naming the field and the permitted values.
+	// Validate returns the first error found, a *FieldError that names the field and the permitted values.
 	Validate() error
 	// SetDefaults fills in fields that were left out.
 	SetDefaults()
@@ -104,13 +126,20 @@
 	if len(data) > MaxSpecBytes {
 		return nil, fmt.Errorf("%s: spec has %d bytes, at most %d are permitted", key, len(data), MaxSpecBytes)
 	}
+	if !isObject(data) {
+		return nil, fmt.Errorf("%s: spec is not a JSON object", key)
+	}
+	if name := duplicateName(data); name != "" {
+		return nil, errors.Wrapf(fieldErrorf(name, "appears more than once"), "%s: spec", key)
+	}
 	spec := specs[key.Kind]()
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(spec); err != nil {
 		return nil, errors.Wrapf(err, "%s: spec", key)
 	}
-	if dec.More() {
+	// Decoder.More does not report a closing bracket, so the end of the input is read instead.
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return nil, fmt.Errorf("%s: spec: data after the JSON value", key)
 	}
 	spec.SetDefaults()
@@ -127,7 +156,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(spec)
+	out, err := json.Marshal(spec)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s: spec", key)
+	}
+	// Defaults and escapes can make the canonical form longer than the input.
+	if len(out) > MaxSpecBytes {
+		return nil, fmt.Errorf("%s: spec has %d bytes in canonical form, at most %d are permitted", key, len(out), MaxSpecBytes)
+	}
+	return out, nil
 }
 
 // ChangedFields returns the sorted names of the top-level fields that differ between two JSON objects.
--- a/resource/specs.go
+++ b/resource/specs.go
@@ -1,7 +1,8 @@
 package resource
 
 import (
-	"fmt"
+	"regexp"
+	"slices"
 	"time"
 )
 
@@ -46,7 +47,7 @@
 // Validate implements Spec.
 func (p *Pool) Validate() error {
 	if len(p.Description) > maxDescription {
-		return fmt.Errorf("description: at most %d bytes", maxDescription)
+		return fieldErrorf("description", "at most %d bytes", maxDescription)
 	}
 	return between("minVMs", p.MinVMs, 0, 100_000)
 }
@@ -72,6 +73,9 @@
 	if len(s.RepeatableMethods) == 0 {
 		s.RepeatableMethods = []string{"GET", "HEAD", "OPTIONS"}
 	}
+	// Both lists are sets: sorted, so that equal specs have equal encodings.
+	s.RepeatableMethods = sortedSet(s.RepeatableMethods)
+	s.Hosts = sortedSet(s.Hosts)
 	if s.AnswerCheck == "" {
 		s.AnswerCheck = AnswerCheckFresh
 	}
@@ -92,18 +96,23 @@
 // Validate implements Spec.
 func (s *Service) Validate() error {
 	if !namePattern.MatchString(s.Pool) {
-		return fmt.Errorf("pool: %q is not a pool name", s.Pool)
+		return fieldErrorf("pool", "%q is not a pool name", s.Pool)
 	}
 	if len(s.Hosts) > maxHosts {
-		return fmt.Errorf("hosts: at most %d entries", maxHosts)
+		return fieldErrorf("hosts", "at most %d entries", maxHosts)
+	}
+	for _, h := range s.Hosts {
+		if !hostPattern.MatchString(h) {
+			return fieldErrorf("hosts", "%q is not a host name in lower case without a port", h)
+		}
 	}
 	for _, m := range s.RepeatableMethods {
 		if !httpMethods[m] {
-			return fmt.Errorf("repeatableMethods: %q (permitted: GET, HEAD, OPTIONS, PUT, DELETE, POST, PATCH)", m)
+			return fieldErrorf("repeatableMethods", "%q (permitted: GET, HEAD, OPTIONS, PUT, DELETE, POST, PATCH)", m)
 		}
 	}
 	if s.AnswerCheck != AnswerCheckFresh && s.AnswerCheck != AnswerCheckEcho {
-		return fmt.Errorf("answerCheck: %q (permitted: fresh, echo)", s.AnswerCheck)
+		return fieldErrorf("answerCheck", "%q (permitted: fresh, echo)", s.AnswerCheck)
 	}
 	if err := between("maxRunMs", s.MaxRunMs, 1, maxRunLimit.Milliseconds()); err != nil {
 		return err
@@ -159,7 +168,7 @@
 	}
 	for pool, b := range c.AvailabilityBudget {
 		if !namePattern.MatchString(pool) {
-			return fmt.Errorf("availabilityBudget: %q is not a pool name", pool)
+			return fieldErrorf("availabilityBudget", "%q is not a pool name", pool)
 		}
 		if err := between("availabilityBudget."+pool+".maxUnavailable", b.MaxUnavailable, 0, 100_000); err != nil {
 			return err
@@ -193,7 +202,12 @@
 // Validate implements Spec.
 func (w *Wave) Validate() error {
 	if !namePattern.MatchString(w.Pool) {
-		return fmt.Errorf("pool: %q is not a pool name", w.Pool)
+		return fieldErrorf("pool", "%q is not a pool name", w.Pool)
+	}
+	for _, vm := range w.Order {
+		if !namePattern.MatchString(vm) {
+			return fieldErrorf("order", "%q is not a VM name", vm)
+		}
 	}
 	if err := between("firstGroup", w.FirstGroup, 1, 10_000); err != nil {
 		return err
@@ -207,7 +221,11 @@
 }
 
 // SetDefaults implements Spec.
-func (c *Config) SetDefaults() {}
+func (c *Config) SetDefaults() {
+	if c.Values == nil {
+		c.Values = map[string]string{}
+	}
+}
 
 // Validate implements Spec.
 func (c *Config) Validate() error {
@@ -229,17 +247,25 @@
 // Validate implements Spec.
 func (v *VM) Validate() error {
 	if !namePattern.MatchString(v.Pool) {
-		return fmt.Errorf("pool: %q is not a pool name", v.Pool)
+		return fieldErrorf("pool", "%q is not a pool name", v.Pool)
 	}
 	if v.Next != "" && !namePattern.MatchString(v.Next) {
-		return fmt.Errorf("next: %q is not a pool name", v.Next)
+		return fieldErrorf("next", "%q is not a pool name", v.Next)
 	}
 	return nil
 }
 
+// hostPattern admits host names and IPv4 addresses; an IPv6 address stands in brackets.
+var hostPattern = regexp.MustCompile(`^([a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?|\[[0-9a-f:.]+\])$`)
+
+func sortedSet(list []string) []string {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 func between[T int | int64](field string, v, low, high T) error {
 	if v < low || v > high {
-		return fmt.Errorf("%s: %d is out of range (permitted: %d to %d)", field, v, low, high)
+		return fieldErrorf(field, "%d is out of range (permitted: %d to %d)", v, low, high)
 	}
 	return nil
 }
