--- /dev/null
+++ b/daemon/table.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"sort"
+
+	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/routing"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+// unavailable tells which VMs are out of use by health probes. A nil func means none.
+type unavailable func(vm string) bool
+
+// buildTable derives the routing table from the declared state and the platform's VM list. A VM gets new work for the
+// services of its pool only while the list shows it as live, no drain is declared, no hand-over to another pool is under
+// way, and its backend server does not report that it is leaving.
+func buildTable(v *statelog.View, vms []platform.VM, out unavailable) *routing.Table {
+	pools := backendsByPool(v, vms, out)
+	t := &routing.Table{
+		Services:  make(map[string]*routing.Service),
+		Hosts:     make(map[string]string),
+		Customers: make(map[string]*resource.Customer),
+	}
+	v.Each(resource.KindService, func(r *resource.Resource, spec resource.Spec) bool {
+		s := spec.(*resource.Service)
+		t.Services[r.Name] = &routing.Service{Name: r.Name, Spec: s, Backends: pools[s.Pool]}
+		addHosts(t, r.Name, s.Hosts)
+		return true
+	})
+	v.Each(resource.KindCustomer, func(r *resource.Resource, spec resource.Spec) bool {
+		t.Customers[r.Name] = spec.(*resource.Customer)
+		return true
+	})
+	return t
+}
+
+// addHosts maps host names to a service. When two services claim a host, the first name in lexical order wins, so that
+// all nodes agree.
+func addHosts(t *routing.Table, service string, hosts []string) {
+	for _, h := range hosts {
+		if other, taken := t.Hosts[h]; taken && other < service {
+			continue
+		}
+		t.Hosts[h] = service
+	}
+}
+
+func backendsByPool(v *statelog.View, vms []platform.VM, out unavailable) map[string][]routing.Backend {
+	pools := make(map[string][]routing.Backend)
+	for _, vm := range vms {
+		if vm.Role != platform.RoleWorker || vm.State != platform.StateLive {
+			continue
+		}
+		pool, ok := poolOf(v, vm.Name)
+		if !ok || (out != nil && out(vm.Name)) {
+			continue
+		}
+		pools[pool] = append(pools[pool], routing.Backend{VM: vm.Name, Zone: vm.Zone, Rack: vm.Rack, Addr: vm.Addr})
+	}
+	for _, b := range pools {
+		sort.Slice(b, func(i, j int) bool { return b[i].VM < b[j].VM })
+	}
+	return pools
+}
+
+// poolOf returns the pool for which a VM takes new work.
+func poolOf(v *statelog.View, vm string) (string, bool) {
+	spec, ok := v.Spec(resource.Key{Kind: resource.KindVM, Name: vm}).(*resource.VM)
+	if !ok || spec.Drain || spec.Next != "" {
+		return "", false
+	}
+	return spec.Pool, true
+}
