--- /dev/null
+++ b/follower/fake_test.go
@@ -0,0 +1,181 @@
+package follower
+
+import (
+	"context"
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylwharf/berylwharf/logclient"
+	"github.com/berylwharf/berylwharf/platform"
+)
+
+// fault is what happens to one call of the fake log.
+type fault int
+
+const (
+	faultNone    fault = iota
+	faultRefused       // proof of no effect
+	faultUnknown       // not stored, but the caller cannot know
+	faultLost          // stored, answer lost
+	faultTwice         // stored twice, answer lost
+	faultHang          // no answer until the context ends
+)
+
+type fakeStream struct {
+	oldest  uint64
+	records [][]byte
+}
+
+// fakeLog is the log service in memory. The hooks choose faults and run without the lock.
+type fakeLog struct {
+	mu       sync.Mutex
+	streams  map[string]*fakeStream
+	grown    chan struct{}
+	onAppend func(stream string) fault
+	onRead   func(stream string) fault
+	appends  int
+}
+
+func newFakeLog() *fakeLog {
+	none := func(string) fault { return faultNone }
+	return &fakeLog{streams: map[string]*fakeStream{}, grown: make(chan struct{}), onAppend: none, onRead: none}
+}
+
+// set replaces the hooks.
+func (l *fakeLog) set(onAppend, onRead func(string) fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onAppend, l.onRead = onAppend, onRead
+}
+
+func always(f fault) func(string) fault { return func(string) fault { return f } }
+
+func (l *fakeLog) stream(name string) *fakeStream {
+	s := l.streams[name]
+	if s == nil {
+		s = &fakeStream{oldest: 1}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// trim drops all records below an offset.
+func (l *fakeLog) trim(name string, oldest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.records = s.records[oldest-s.oldest:]
+	s.oldest = oldest
+}
+
+func (l *fakeLog) next(name string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	return s.oldest + uint64(len(s.records))
+}
+
+func (l *fakeLog) Append(ctx context.Context, name string, records [][]byte) (platform.AppendResponse, error) {
+	l.mu.Lock()
+	hook := l.onAppend
+	l.mu.Unlock()
+	f := hook(name)
+	switch f {
+	case faultRefused:
+		return platform.AppendResponse{}, &logclient.AppendError{Err: syscall.ECONNREFUSED}
+	case faultUnknown:
+		return platform.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: errors.New("broken")}
+	case faultHang:
+		<-ctx.Done()
+		return platform.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: ctx.Err()}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	first := s.oldest + uint64(len(s.records))
+	s.records = append(s.records, records...)
+	if f == faultTwice {
+		s.records = append(s.records, records...)
+	}
+	l.appends++
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if f != faultNone {
+		return platform.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: errors.New("answer lost")}
+	}
+	return platform.AppendResponse{First: first, Next: s.oldest + uint64(len(s.records))}, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, name string, from uint64, maxRecords int, wait time.Duration) (
+	platform.ReadResponse, error) {
+	l.mu.Lock()
+	hook := l.onRead
+	l.mu.Unlock()
+	switch hook(name) {
+	case faultNone:
+	case faultHang:
+		<-ctx.Done()
+		return platform.ReadResponse{}, ctx.Err()
+	default:
+		return platform.ReadResponse{}, syscall.ECONNREFUSED
+	}
+	timer := time.After(wait)
+	for {
+		l.mu.Lock()
+		s, grown := l.stream(name), l.grown
+		next := s.oldest + uint64(len(s.records))
+		resp := platform.ReadResponse{Oldest: s.oldest, Next: next}
+		for o := from; o >= s.oldest && o < next && len(resp.Records) < maxRecords; o++ {
+			resp.Records = append(resp.Records, platform.LogRecord{Offset: o, Data: s.records[o-s.oldest]})
+		}
+		l.mu.Unlock()
+		if from < resp.Oldest {
+			return platform.ReadResponse{}, &logclient.GoneError{Oldest: resp.Oldest, Next: next}
+		}
+		if len(resp.Records) > 0 || wait == 0 {
+			return resp, nil
+		}
+		select {
+		case <-grown:
+		case <-timer:
+			return resp, nil
+		case <-ctx.Done():
+			return platform.ReadResponse{}, ctx.Err()
+		}
+	}
+}
+
+// testConfig has short delays; nothing in the tests depends on their length.
+func testConfig(node string, l Log) Config {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return Config{
+		Node: node, Log: l, Logger: logger, PollWait: 20 * time.Millisecond, ReadTimeout: 50 * time.Millisecond,
+		AppendTimeout: 50 * time.Millisecond, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond,
+		RankDelay: 5 * time.Millisecond, SnapshotCheck: 2 * time.Millisecond,
+	}
+}
+
+// start runs a follower until the test ends or stop is called.
+func start(t testing.TB, cfg Config) (f *Follower, stop func()) {
+	t.Helper()
+	f, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return f, stop
+}
--- /dev/null
+++ b/follower/propose.go
@@ -0,0 +1,309 @@
+package follower
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/logclient"
+	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+// Causes of a ProposeError beside the errors of the context and of the log client.
+var (
+	ErrStopped   = errors.New("the follower has stopped")
+	ErrNotLoaded = errors.New("the state has not been loaded yet")
+	ErrBusy      = errors.New("too many changes are waiting for an outcome")
+	ErrForgotten = errors.New("the log advanced too far while this node did not read it")
+)
+
+// proposal is one record on its way to an outcome. The follower's mutex guards its fields; data does not change, so
+// that all attempts append the same bytes.
+type proposal struct {
+	id   statelog.RecordID
+	data []byte
+	done chan struct{} // closed when outcome or err is set
+
+	outcome statelog.Outcome
+	err     error
+
+	waiters   int
+	inFlight  bool // an append is on its way
+	appended  bool // an append was acknowledged; only the outcome is missing
+	uncertain bool // an append failed without proof that it took no effect
+	attempts  int
+	notBefore time.Time
+	lastErr   error
+}
+
+func (p *proposal) mayTakeEffect() bool { return p.inFlight || p.appended || p.uncertain }
+
+func (p *proposal) finished() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Propose implements Store. Repeating a proposal with the same identifier returns the outcome of the first one while
+// the identifier is remembered. A change that is not valid is returned as malformed without being appended.
+func (f *Follower) Propose(ctx context.Context, c Change) (statelog.Outcome, error) {
+	if c.ID == (statelog.RecordID{}) {
+		if _, err := rand.Read(c.ID[:]); err != nil {
+			return statelog.Outcome{}, &ProposeError{Cause: err}
+		}
+	}
+	if err := f.waitLoaded(ctx); err != nil {
+		return statelog.Outcome{}, &ProposeError{ID: c.ID, Cause: err}
+	}
+	p, out, err := f.enqueue(c)
+	if err != nil {
+		return statelog.Outcome{}, &ProposeError{ID: c.ID, Cause: err}
+	}
+	if p == nil {
+		return out, nil
+	}
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+	case <-f.stopped:
+	}
+	return f.leave(ctx, p)
+}
+
+func (f *Follower) waitLoaded(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	select {
+	case <-f.loaded:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), ErrNotLoaded.Error())
+	case <-f.stopped:
+		return ErrStopped
+	}
+}
+
+// enqueue returns the proposal to wait for, or an outcome that is known already.
+func (f *Follower) enqueue(c Change) (*proposal, statelog.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if out, ok := f.state.Lookup(c.ID); ok {
+		return nil, out, nil
+	}
+	if p := f.pending[c.ID]; p != nil {
+		p.waiters++
+		return p, statelog.Outcome{}, nil
+	}
+	if len(f.pending) >= maxPending {
+		return nil, statelog.Outcome{}, ErrBusy
+	}
+	rec := &statelog.Record{
+		ID: c.ID, Op: c.Op, Key: c.Key, Base: c.Base, ReadPos: f.state.Next(), Author: c.Author, Spec: c.Spec,
+		Member: c.Member, UnixMsec: time.Now().UnixMilli(),
+	}
+	if c.Member != nil {
+		m := *c.Member
+		m.Version = 0
+		rec.Member = &m
+	}
+	data, err := statelog.EncodeRecord(rec)
+	if err != nil {
+		return nil, statelog.Outcome{ID: c.ID, Status: statelog.StatusMalformed, Message: err.Error()}, nil
+	}
+	p := &proposal{id: c.ID, data: data, done: make(chan struct{}), waiters: 1}
+	f.pending[c.ID] = p
+	f.queue = append(f.queue, p)
+	f.signal()
+	return p, statelog.Outcome{}, nil
+}
+
+// leave ends one caller's wait. The last caller to leave ends the attempts.
+func (f *Follower) leave(ctx context.Context, p *proposal) (statelog.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.waiters--
+	if p.finished() {
+		if p.err != nil {
+			return statelog.Outcome{}, p.err
+		}
+		return p.outcome, nil
+	}
+	if p.waiters == 0 {
+		f.dropLocked(p)
+	}
+	cause := ctx.Err()
+	if cause == nil {
+		cause = ErrStopped
+	}
+	if p.lastErr != nil {
+		cause = errors.Wrapf(cause, "last attempt: %v", p.lastErr)
+	}
+	// Another caller that waits for the same record keeps trying.
+	may := p.mayTakeEffect() || p.waiters > 0
+	return statelog.Outcome{}, &ProposeError{ID: p.id, MayTakeEffect: may, Cause: cause}
+}
+
+func (f *Follower) dropLocked(p *proposal) {
+	if f.pending[p.id] == p {
+		delete(f.pending, p.id)
+	}
+	for i, q := range f.queue {
+		if q == p {
+			f.queue = append(f.queue[:i], f.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// resolveLocked gives waiting callers the outcome that the state remembers for an identifier.
+func (f *Follower) resolveLocked(id statelog.RecordID) {
+	p := f.pending[id]
+	if p == nil {
+		return
+	}
+	out, ok := f.state.Lookup(id)
+	if !ok {
+		return
+	}
+	p.outcome = out
+	f.dropLocked(p)
+	close(p.done)
+}
+
+// settleAfterJumpLocked looks for the outcomes of proposals after the state was replaced. When records between the old
+// state and the oldest remembered one were skipped, a record that may be among them is never retried: the retry would
+// be stale, although the first attempt may have been accepted.
+func (f *Follower) settleAfterJumpLocked(old uint64) {
+	skipped := f.state.Next() > old+statelog.Window
+	for id, p := range f.pending {
+		f.resolveLocked(id)
+		if p.finished() || !skipped || !p.mayTakeEffect() {
+			continue
+		}
+		p.err = &ProposeError{ID: id, MayTakeEffect: true, Cause: ErrForgotten}
+		f.dropLocked(p)
+		close(p.done)
+	}
+}
+
+func (f *Follower) signal() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// appendLoop sends the queue in batches. While all appends are in flight, proposals collect for the next batch.
+func (f *Follower) appendLoop(ctx context.Context) {
+	free := make(chan struct{}, maxAppends)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case free <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		batch := f.waitBatch(ctx)
+		if batch == nil {
+			return
+		}
+		wg.Go(func() {
+			f.append(ctx, batch)
+			<-free
+		})
+	}
+}
+
+// waitBatch returns the next batch, or nil when the context ends.
+func (f *Follower) waitBatch(ctx context.Context) []*proposal {
+	for {
+		batch, wait := f.takeBatch(time.Now())
+		if len(batch) > 0 {
+			return batch
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		case <-f.wake:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// takeBatch marks the proposals that are due as in flight. When none is due, it returns the time until the next one.
+func (f *Follower) takeBatch(now time.Time) ([]*proposal, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var batch, rest []*proposal
+	size, wait := 0, maxTimeout
+	for _, p := range f.queue {
+		n := encodedSize(p.data)
+		due := !p.notBefore.After(now)
+		if !due || len(batch) == platform.MaxAppendRecords || size+n > maxBatchBytes {
+			if !due {
+				wait = min(wait, p.notBefore.Sub(now))
+			}
+			rest = append(rest, p)
+			continue
+		}
+		size += n
+		p.inFlight = true
+		batch = append(batch, p)
+	}
+	f.queue = rest
+	return batch, wait
+}
+
+// encodedSize is the size of a record in the JSON body of an append: base64, quotes and a comma.
+func encodedSize(data []byte) int { return (len(data)+2)/3*4 + 3 }
+
+// append makes one attempt for a batch and puts the proposals that failed back into the queue.
+func (f *Follower) append(ctx context.Context, batch []*proposal) {
+	records := make([][]byte, len(batch))
+	attempts := batch[0].attempts
+	for i, p := range batch {
+		records[i] = p.data
+		attempts = min(attempts, p.attempts)
+	}
+	actx, cancel := context.WithTimeout(ctx, doubled(f.cfg.AppendTimeout, attempts, maxTimeout))
+	defer cancel()
+	_, err := f.cfg.Log.Append(actx, statelog.StreamConfig, records)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil && ctx.Err() == nil {
+		f.cfg.Logger.Warnf("follower: append of %d records failed: %v", len(batch), err)
+	}
+	for _, p := range batch {
+		f.attemptEndedLocked(p, err)
+	}
+	f.signal()
+}
+
+func (f *Follower) attemptEndedLocked(p *proposal, err error) {
+	p.inFlight = false
+	p.attempts++
+	if err == nil {
+		p.appended = true
+		return
+	}
+	p.uncertain = p.uncertain || logclient.MayTakeEffect(err)
+	p.lastErr = fmt.Errorf("attempt %d: %w", p.attempts, err)
+	if f.pending[p.id] != p {
+		return
+	}
+	p.notBefore = time.Now().Add(doubled(f.cfg.RetryMin, p.attempts-1, f.cfg.RetryMax))
+	f.queue = append(f.queue, p)
+}
--- /dev/null
+++ b/follower/recover_test.go
@@ -0,0 +1,155 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+// peerOf serves what another follower knows, as the peer link does.
+type peerOf struct {
+	f     *Follower
+	wrong atomic.Bool // name a wrong hash
+	asked atomic.Int64
+}
+
+func (p *peerOf) Fetch(_ context.Context, from uint64) (PeerAnswer, error) {
+	p.asked.Add(1)
+	v := p.f.View()
+	ans := PeerAnswer{Next: v.Next, Hash: v.Hash}
+	var ok bool
+	if ans.Records, ok = p.f.RecordsFrom(from); !ok {
+		var err error
+		if ans.State, ans.Next, ans.Hash, err = p.f.FullState(); err != nil {
+			return ans, err
+		}
+	}
+	if p.wrong.Load() {
+		ans.Hash[0] ^= 1
+	}
+	return ans, nil
+}
+
+func proposeN(t *testing.T, f *Follower, from, n int) {
+	t.Helper()
+	errs := make(chan error, n)
+	for i := range n {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			_, err := f.Propose(ctx, putVM(fmt.Sprintf("vm-%d", from+i), "p1", 0))
+			errs <- err
+		}()
+	}
+	for range n {
+		if err := <-errs; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a node that cannot continue after the records it needs have left the log, and against several nodes
+// writing each snapshot.
+func TestSnapshotAfterRetention(t *testing.T) {
+	l := newFakeLog()
+	cfg := testConfig("a", l)
+	cfg.SnapshotRecords = 50
+	a, _ := start(t, cfg)
+	paused, stop := start(t, testConfig("b", l))
+	<-paused.Loaded()
+	stop()
+	proposeN(t, a, 0, 120)
+	eventually(t, "snapshot", func() bool { return a.Status().Snapshot+50 > a.View().Next && a.Status().Snapshot > 1 })
+	at := a.Status().Snapshot
+	if n := l.next(statelog.StreamSnapshots) - 1; n > 121/50+1 {
+		t.Errorf("%d snapshots were written", n)
+	}
+	l.trim(statelog.StreamConfig, at)
+	proposeN(t, a, 120, 3)
+	for _, f := range []*Follower{paused, nil} {
+		if f == nil { // a new node
+			f, _ = start(t, testConfig("c", l))
+		} else { // a node that resumes: the same state, Run anew
+			f.started.Store(false)
+			f.stopped = make(chan struct{})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = f.Run(ctx) }()
+		}
+		eventually(t, "same state", func() bool { return f.View().Hash == a.View().Hash })
+	}
+}
+
+// Guards against a node that stays without a state, or behind, while the log is down and a peer could help, and against
+// taking records or a state whose hash does not match.
+func TestPeers(t *testing.T) {
+	l := newFakeLog()
+	a, _ := start(t, testConfig("a", l))
+	proposeN(t, a, 0, 5)
+	l.set(always(faultNone), always(faultRefused))
+	src := &peerOf{f: a}
+	src.wrong.Store(true)
+	cfg := testConfig("b", l)
+	cfg.Peers = src
+	b, _ := start(t, cfg)
+	eventually(t, "peer asked", func() bool { return src.asked.Load() > 2 })
+	if b.View().Next != 1 || b.Status().Loaded {
+		t.Fatal("records with a wrong hash were applied")
+	}
+	src.wrong.Store(false)
+	eventually(t, "records from the peer", func() bool { return b.View().Hash == a.View().Hash })
+	// A peer that no longer has the first records sends its state.
+	a.mu.Lock()
+	a.history = history{}
+	a.mu.Unlock()
+	cfg = testConfig("c", l)
+	cfg.Peers = src
+	c, _ := start(t, cfg)
+	<-c.Loaded()
+	if st := c.Status(); c.View().Hash != a.View().Hash || st.LogDown.IsZero() || !st.LastRead.IsZero() {
+		t.Fatalf("status %+v", st)
+	}
+	// The log is back, and its records continue the peer's state.
+	l.set(always(faultNone), always(faultNone))
+	proposeN(t, c, 5, 1)
+	eventually(t, "equal views", func() bool { return b.View().Hash == a.View().Hash && a.View().Hash == c.View().Hash })
+}
+
+// Guards against a state that reverts, and against a proposal that is reported as stale, which means "not accepted",
+// after its first attempt was accepted at an offset that this node skipped and no longer remembers.
+func TestJump(t *testing.T) {
+	l := newFakeLog()
+	f, _ := start(t, testConfig("a", l))
+	<-f.Loaded()
+	// The follower can neither read nor learn the outcome of its append.
+	var hung atomic.Bool
+	l.set(always(faultLost), func(string) fault { hung.Store(true); return faultHang })
+	eventually(t, "no earlier read is left", hung.Load)
+	errc := make(chan error, 1)
+	go func() {
+		_, err := f.Propose(context.Background(), putVM("vm-1", "p1", 0))
+		errc <- err
+	}()
+	eventually(t, "append", func() bool { return l.next(statelog.StreamConfig) > 1 })
+	s := statelog.New()
+	for o := uint64(1); o < statelog.Window+10; o++ {
+		s.Apply(o, nil)
+	}
+	f.mu.Lock()
+	replaced := f.replaceLocked(s)
+	again := f.replaceLocked(statelog.New())
+	f.mu.Unlock()
+	if !replaced || again {
+		t.Fatalf("replaced by a higher offset: %v, by a lower offset: %v", replaced, again)
+	}
+	err := <-errc
+	var pe *ProposeError
+	if !errors.As(err, &pe) || !pe.MayTakeEffect || !errors.Is(err, ErrForgotten) {
+		t.Fatalf("error %v", err)
+	}
+}
--- a/follower/store.go
+++ b/follower/store.go
@@ -36,7 +36,8 @@
 // ProposeError tells whether a change whose outcome is not known may still take effect.
 type ProposeError struct {
 	ID statelog.RecordID
-	// MayTakeEffect is false only when every attempt failed with proof that nothing took effect.
+	// MayTakeEffect is false only when every attempt failed with proof that nothing took effect. An attempt that is on
+	// its way when the context ends may take effect.
 	MayTakeEffect bool
 	Cause         error
 }
--- /dev/null
+++ b/logclient/client.go
@@ -0,0 +1,224 @@
+package logclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/platform"
+)
+
+// Defaults of Config.
+const (
+	// DefaultTimeout bounds an append, and a read beyond the time that it may wait for records.
+	DefaultTimeout = 10 * time.Second
+	// DefaultMaxResponseBytes bounds one answer in memory. A read of 64 snapshot chunks needs 5.4 MiB.
+	DefaultMaxResponseBytes = 8 << 20
+
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
+	// maxIdleConns covers one long poll and the concurrent appends of a follower.
+	maxIdleConns  = 6
+	maxErrorBytes = 512
+)
+
+// Config configures a Client.
+type Config struct {
+	// URL is the base URL of the platform, such as http://127.0.0.1:7000.
+	URL string
+	// Timeout bounds an append, and a read beyond its wait. A shorter deadline of the context applies first.
+	Timeout time.Duration
+	// MaxResponseBytes bounds the body of one answer.
+	MaxResponseBytes int64
+}
+
+// Client calls the log service. It is safe for concurrent use.
+type Client struct {
+	base      string
+	cfg       Config
+	transport *http.Transport
+	http      *http.Client
+}
+
+// New checks the configuration and returns a client. It opens no connection.
+func New(cfg Config) (*Client, error) {
+	u, err := url.Parse(cfg.URL)
+	if err != nil {
+		return nil, errors.Wrap(err, "log service URL")
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return nil, fmt.Errorf("log service URL %q must be http://host:port or https://host:port", cfg.URL)
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.MaxResponseBytes <= 0 {
+		cfg.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	t := &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSHandshakeTimeout: dialTimeout,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{
+		base:      strings.TrimRight(cfg.URL, "/") + "/v1/log/",
+		cfg:       cfg,
+		transport: t,
+		http:      &http.Client{Transport: t, CheckRedirect: noRedirect},
+	}, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Append appends 1 to 256 records, which get contiguous offsets. All errors are *AppendError.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (platform.AppendResponse, error) {
+	var out platform.AppendResponse
+	body, err := encodeAppend(records)
+	if err != nil {
+		return out, &AppendError{Err: err}
+	}
+	if err := ctx.Err(); err != nil {
+		return out, &AppendError{Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+url.PathEscape(stream), bytes.NewReader(body))
+	if err != nil {
+		return out, &AppendError{Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.do(req)
+	if err != nil {
+		return out, &AppendError{MayTakeEffect: !refused(err), Err: err}
+	}
+	defer discard(resp)
+	if resp.StatusCode != http.StatusOK {
+		none := resp.StatusCode == http.StatusServiceUnavailable &&
+			resp.Header.Get(platform.EffectHeader) == platform.EffectNone
+		return out, &AppendError{MayTakeEffect: !none, Err: statusError(resp)}
+	}
+	if err := c.decode(resp, &out); err != nil {
+		return platform.AppendResponse{}, &AppendError{MayTakeEffect: true, Err: err}
+	}
+	if out.First == 0 || out.Next < out.First || out.Next-out.First < uint64(len(records)) {
+		err := fmt.Errorf("answer names offsets %d to %d for %d records", out.First, out.Next, len(records))
+		return platform.AppendResponse{}, &AppendError{MayTakeEffect: true, Err: err}
+	}
+	return out, nil
+}
+
+func encodeAppend(records [][]byte) ([]byte, error) {
+	if len(records) == 0 || len(records) > platform.MaxAppendRecords {
+		return nil, fmt.Errorf("append of %d records, 1 to %d are permitted", len(records), platform.MaxAppendRecords)
+	}
+	body, err := json.Marshal(platform.AppendRequest{Records: records})
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > platform.MaxAppendBytes {
+		return nil, fmt.Errorf("append of %d bytes, at most %d are permitted", len(body), platform.MaxAppendBytes)
+	}
+	return body, nil
+}
+
+// Read returns up to maxRecords records from an offset on. When there are none, it waits up to wait (at most 30 s) for
+// one. The records are contiguous and start at the offset. The error is *GoneError when the records are no longer kept.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (
+	platform.ReadResponse, error) {
+	var out platform.ReadResponse
+	waitMs := min(max(wait.Milliseconds(), 0), platform.MaxWaitMs)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout+time.Duration(waitMs)*time.Millisecond)
+	defer cancel()
+	q := url.Values{}
+	q.Set("from", strconv.FormatUint(from, 10))
+	q.Set("max", strconv.Itoa(maxRecords))
+	q.Set("wait_ms", strconv.FormatInt(waitMs, 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+url.PathEscape(stream)+"?"+q.Encode(), nil)
+	if err != nil {
+		return out, err
+	}
+	resp, err := c.do(req)
+	if err != nil {
+		return out, err
+	}
+	defer discard(resp)
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		if err := c.decode(resp, &out); err != nil {
+			return platform.ReadResponse{}, err
+		}
+		return platform.ReadResponse{}, &GoneError{Oldest: out.Oldest, Next: out.Next}
+	default:
+		return out, statusError(resp)
+	}
+	if err := c.decode(resp, &out); err != nil {
+		return platform.ReadResponse{}, err
+	}
+	if err := checkRead(&out, from); err != nil {
+		return platform.ReadResponse{}, err
+	}
+	return out, nil
+}
+
+// checkRead rejects an answer with a gap: a reader that skipped records would differ from the others.
+func checkRead(r *platform.ReadResponse, from uint64) error {
+	for i, rec := range r.Records {
+		if rec.Offset != from+uint64(i) {
+			return fmt.Errorf("answer has offset %d in place of %d", rec.Offset, from+uint64(i))
+		}
+	}
+	if n := len(r.Records); n > 0 && r.Next < from+uint64(n) {
+		return fmt.Errorf("answer ends at offset %d but names %d as next", from+uint64(n)-1, r.Next)
+	}
+	return nil
+}
+
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.http.Do(req)
+	if err != nil && errors.Is(err, context.DeadlineExceeded) {
+		// The other idle connections may be silent for the same reason; the next request uses a new one.
+		c.transport.CloseIdleConnections()
+	}
+	return resp, err
+}
+
+func (c *Client) decode(resp *http.Response, v any) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxResponseBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "answer of the log service")
+	}
+	if int64(len(data)) > c.cfg.MaxResponseBytes {
+		return ErrTooLarge
+	}
+	return errors.Wrap(json.Unmarshal(data, v), "answer of the log service")
+}
+
+func statusError(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		body = []byte(err.Error())
+	}
+	return &StatusError{Status: resp.StatusCode, Body: string(body)}
+}
+
+// discard reads a short rest of the body, so that the connection can be used again, and closes it.
+func discard(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/statelog/snapshot.go
@@ -0,0 +1,311 @@
+package statelog
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/resource"
+)
+
+const (
+	// MaxSnapshotBytes bounds an encoded state. The design size needs about 2 MiB.
+	MaxSnapshotBytes = 32 << 20
+	// maxStateElements bounds each array of an encoded state.
+	maxStateElements = 1 << 18
+
+	snapshotFormat = 1
+)
+
+// The encoded forms are arrays in place of maps, which halves the size of small elements.
+type encodedState struct {
+	_          struct{} `cbor:",toarray"`
+	Format     uint64
+	Next       uint64
+	Hash       []byte
+	Resources  []encodedResource
+	Members    []encodedMember
+	Epochs     []encodedEpoch
+	Remembered []encodedRemembered
+}
+
+type encodedResource struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    resource.Kind
+	Name    string
+	Version uint64
+	Author  string
+	ID      RecordID
+	Spec    []byte
+}
+
+type encodedMember struct {
+	_      struct{} `cbor:",toarray"`
+	Member Member
+	ID     RecordID
+}
+
+type encodedEpoch struct {
+	_      struct{} `cbor:",toarray"`
+	Region string
+	Epoch  uint64
+}
+
+type encodedRemembered struct {
+	_       struct{} `cbor:",toarray"`
+	Offset  uint64
+	ID      RecordID
+	Status  Status
+	Current uint64
+	Winner  []byte // empty when zero
+	Kind    resource.Kind
+	Name    string
+}
+
+// Encode returns the deterministic encoding of the state with the remembered identifiers. Equal states have equal
+// encodings. It fails when the state exceeds MaxSnapshotBytes.
+func (s *State) Encode() ([]byte, error) {
+	h := s.Hash()
+	e := encodedState{Format: snapshotFormat, Next: s.next, Hash: h[:]}
+	for _, t := range s.tables {
+		t.each(func(it *item) bool {
+			r := it.res
+			e.Resources = append(e.Resources, encodedResource{Kind: r.Kind, Name: r.Name, Version: r.Version, Author: r.Author,
+				ID: it.id, Spec: r.Spec})
+			return true
+		})
+	}
+	sort.Slice(e.Resources, func(i, j int) bool {
+		a, b := &e.Resources[i], &e.Resources[j]
+		return resource.Key{Kind: a.Kind, Name: a.Name}.Less(resource.Key{Kind: b.Kind, Name: b.Name})
+	})
+	for _, m := range s.members {
+		e.Members = append(e.Members, encodedMember{Member: m.Member, ID: m.id})
+	}
+	for r, n := range s.epochs {
+		e.Epochs = append(e.Epochs, encodedEpoch{Region: r, Epoch: n})
+	}
+	sort.Slice(e.Epochs, func(i, j int) bool { return e.Epochs[i].Region < e.Epochs[j].Region })
+	for i := uint64(0); i < Window; i++ {
+		// The oldest remembered offset is next - Window; positions follow in offset order from there.
+		if r := s.ring[(s.next+i)%Window]; r != nil {
+			e.Remembered = append(e.Remembered, r.encode())
+		}
+	}
+	data, err := encMode.Marshal(&e)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	if len(data) > MaxSnapshotBytes {
+		return nil, fmt.Errorf("snapshot has %d bytes, at most %d are permitted", len(data), MaxSnapshotBytes)
+	}
+	return data, nil
+}
+
+func (r *remembered) encode() encodedRemembered {
+	e := encodedRemembered{Offset: r.outcome.Offset, ID: r.outcome.ID, Status: r.outcome.Status, Current: r.outcome.Current,
+		Kind: r.removes.Kind, Name: r.removes.Name}
+	if r.outcome.Winner != (RecordID{}) {
+		e.Winner = r.outcome.Winner[:]
+	}
+	return e
+}
+
+// Restore returns the state of an encoding. The hash is computed anew and compared, so a damaged or altered encoding is
+// an error. It never panics.
+func Restore(data []byte) (*State, error) {
+	if len(data) > MaxSnapshotBytes {
+		return nil, fmt.Errorf("snapshot has %d bytes, at most %d are permitted", len(data), MaxSnapshotBytes)
+	}
+	var e encodedState
+	if err := stateMode.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	if e.Format != snapshotFormat {
+		return nil, fmt.Errorf("snapshot: format %d is not known (permitted: %d)", e.Format, snapshotFormat)
+	}
+	if e.Next == 0 {
+		return nil, errors.New("snapshot: next offset is zero")
+	}
+	s := New()
+	s.next = e.Next
+	for _, f := range []func(*encodedState) error{
+		s.restoreResources, s.restoreMembers, s.restoreEpochs, s.restoreRemembered,
+	} {
+		if err := f(&e); err != nil {
+			return nil, errors.Wrap(err, "snapshot")
+		}
+	}
+	if h := s.Hash(); string(h[:]) != string(e.Hash) {
+		return nil, errors.New("snapshot: content does not match its hash")
+	}
+	return s, nil
+}
+
+func (s *State) restoreResources(e *encodedState) error {
+	for i := range e.Resources {
+		r := &e.Resources[i]
+		key := resource.Key{Kind: r.Kind, Name: r.Name}
+		spec, err := resource.Decode(key, r.Spec)
+		if err != nil {
+			return err
+		}
+		if r.Version == 0 || r.Version >= s.next {
+			return fmt.Errorf("%s: version %d is out of range", key, r.Version)
+		}
+		t := s.tables[kindIndex[key.Kind]]
+		if t.get(key.Name) != nil {
+			return fmt.Errorf("%s: listed twice", key)
+		}
+		it := newItem(&Record{ID: r.ID, Key: key, Author: r.Author}, spec, r.Version)
+		t.put(it)
+		s.sum.toggle(it.digest())
+	}
+	return nil
+}
+
+func (s *State) restoreMembers(e *encodedState) error {
+	for i := range e.Members {
+		m := memberItem{Member: e.Members[i].Member, id: e.Members[i].ID}
+		if err := m.validate(); err != nil {
+			return err
+		}
+		if m.Version == 0 || m.Version >= s.next {
+			return fmt.Errorf("member %s: version %d is out of range", m.Node, m.Version)
+		}
+		if i > 0 && s.members[i-1].Node >= m.Node {
+			return fmt.Errorf("member %s: out of order", m.Node)
+		}
+		s.members = append(s.members, m)
+		s.sum.toggle(m.digest())
+	}
+	return nil
+}
+
+func (s *State) restoreEpochs(e *encodedState) error {
+	for _, r := range e.Epochs {
+		if _, ok := s.epochs[r.Region]; ok || r.Epoch == 0 || r.Epoch >= s.next {
+			return fmt.Errorf("region %q: epoch %d is invalid", r.Region, r.Epoch)
+		}
+		s.epochs[r.Region] = r.Epoch
+		s.sum.toggle(epochDigest(r.Region, r.Epoch))
+	}
+	return nil
+}
+
+func (s *State) restoreRemembered(e *encodedState) error {
+	var last uint64
+	for i := range e.Remembered {
+		r := &e.Remembered[i]
+		if r.Offset <= last || r.Offset >= s.next || r.Offset+Window < s.next {
+			return fmt.Errorf("remembered record at offset %d: out of range", r.Offset)
+		}
+		if _, ok := s.byID[r.ID]; ok {
+			return fmt.Errorf("record identifier %s: listed twice", r.ID)
+		}
+		if r.Status < StatusAccepted || r.Status > StatusMalformed {
+			return fmt.Errorf("record identifier %s: unknown outcome %d", r.ID, r.Status)
+		}
+		last = r.Offset
+		s.restoreRecord(r)
+	}
+	return nil
+}
+
+// restoreRecord follows Apply in offset order, so the last removal of a resource that does not exist is its winner.
+func (s *State) restoreRecord(e *encodedRemembered) {
+	r := &remembered{
+		outcome: Outcome{ID: e.ID, Status: e.Status, Offset: e.Offset, Current: e.Current},
+		removes: resource.Key{Kind: e.Kind, Name: e.Name},
+	}
+	if len(e.Winner) == len(r.outcome.Winner) {
+		copy(r.outcome.Winner[:], e.Winner)
+	}
+	s.remember(r)
+	if r.removes != (resource.Key{}) && !s.exists(r.removes) {
+		s.removed[r.removes] = e.ID
+	}
+}
+
+func (s *State) exists(k resource.Key) bool {
+	if k.Kind == kindMember {
+		_, ok := s.findMember(k.Name)
+		return ok
+	}
+	i, ok := kindIndex[k.Kind]
+	return ok && s.tables[i].get(k.Name) != nil
+}
+
+const (
+	// MaxChunkBytes bounds an encoded chunk of a snapshot, which is one record of stream "snapshots".
+	MaxChunkBytes = 64 << 10
+
+	// chunkOverhead is room for the fields of a chunk beside its data.
+	chunkOverhead = 512
+	chunkData     = MaxChunkBytes - chunkOverhead
+	maxChunks     = MaxSnapshotBytes/chunkData + 1
+)
+
+// Chunk is one part of a snapshot.
+type Chunk struct {
+	Offset   uint64   `cbor:"1,keyasint"` // next offset of the encoded state
+	Writer   string   `cbor:"2,keyasint"` // node name
+	Index    uint32   `cbor:"3,keyasint"`
+	Count    uint32   `cbor:"4,keyasint"`
+	SHA256   [32]byte `cbor:"5,keyasint"` // of the whole encoded state
+	UnixMsec int64    `cbor:"6,keyasint"` // writer's clock; decides only when the next snapshot is due
+	Data     []byte   `cbor:"7,keyasint"`
+}
+
+// EncodeChunks splits an encoded state into records of at most MaxChunkBytes.
+func EncodeChunks(state []byte, offset uint64, writer string, unixMsec int64) ([][]byte, error) {
+	if len(state) == 0 || len(state) > MaxSnapshotBytes {
+		return nil, fmt.Errorf("snapshot has %d bytes, 1 to %d are permitted", len(state), MaxSnapshotBytes)
+	}
+	c := Chunk{Offset: offset, Writer: writer, UnixMsec: unixMsec, SHA256: sha256.Sum256(state)}
+	c.Count = uint32((len(state) + chunkData - 1) / chunkData)
+	var records [][]byte
+	for ; c.Index < c.Count; c.Index++ {
+		n := min(len(state), chunkData)
+		c.Data, state = state[:n], state[n:]
+		if err := c.validate(); err != nil {
+			return nil, err
+		}
+		data, err := encMode.Marshal(&c)
+		if err != nil {
+			return nil, errors.Wrap(err, "snapshot chunk")
+		}
+		records = append(records, data)
+	}
+	return records, nil
+}
+
+// DecodeChunk parses and validates a chunk. It never panics.
+func DecodeChunk(data []byte) (*Chunk, error) {
+	if len(data) > MaxChunkBytes {
+		return nil, fmt.Errorf("snapshot chunk has %d bytes, at most %d are permitted", len(data), MaxChunkBytes)
+	}
+	c := new(Chunk)
+	if err := decodeCanonical(data, c); err != nil {
+		return nil, errors.Wrap(err, "snapshot chunk")
+	}
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Chunk) validate() error {
+	if err := validName("node", c.Writer); err != nil {
+		return errors.Wrap(err, "snapshot chunk: writer")
+	}
+	if c.Offset == 0 || c.Count == 0 || c.Count > maxChunks || c.Index >= c.Count {
+		return fmt.Errorf("snapshot chunk: offset %d, index %d, count %d are out of range", c.Offset, c.Index, c.Count)
+	}
+	if len(c.Data) == 0 || len(c.Data) > chunkData {
+		return fmt.Errorf("snapshot chunk: %d bytes of data are out of range", len(c.Data))
+	}
+	return nil
+}
--- a/statelog/types.go
+++ b/statelog/types.go
@@ -99,5 +99,11 @@
 	Status  Status
 	Offset  uint64 // offset of the record that decided
 	Current uint64 // on conflict: the resource's version at that offset, 0 when it did not exist
-	Message string // on malformed: what is wrong
+	// Winner is, on conflict, the identifier of the record that set or removed the current version. It is zero when the
+	// resource never existed or its removal is no longer remembered.
+	Winner RecordID
+	// Message tells, on malformed, what is wrong. It is not part of snapshots.
+	Message string
+	// Duplicate is set by State.Apply when the record repeats an identifier; the other fields are the first record's.
+	Duplicate bool
 }
--- a/statelog/view.go
+++ b/statelog/view.go
@@ -1,36 +1,64 @@
 package statelog
 
 import (
+	"sort"
+
 	"github.com/berylwharf/berylwharf/resource"
 )
 
-// View is an immutable picture of the state at one offset. Callers must not modify what it returns.
+// View is an immutable picture of the state at one offset. Callers must not modify what it returns. The zero View is
+// empty.
 type View struct {
-	Next      uint64   // next offset to read; the view covers all records before it
-	Hash      [32]byte // hash of the state; equal on all nodes at the same Next
-	Members   []Member // of all regions, sorted by node name
-	epochs    map[string]uint64
-	resources map[resource.Key]*resource.Resource
-	specs     map[resource.Key]resource.Spec
+	Next    uint64   // next offset to read; the view covers all records before it
+	Hash    [32]byte // hash of the state; equal on all nodes at the same Next
+	Members []Member // of all regions, sorted by node name
+	epochs  map[string]uint64
+	tables  []*table // by kindIndex
+}
+
+func (v *View) table(k resource.Kind) *table {
+	i, ok := kindIndex[k]
+	if !ok || i >= len(v.tables) {
+		return nil
+	}
+	return v.tables[i]
 }
 
 // Get returns a resource, or nil when it does not exist.
-func (v *View) Get(k resource.Key) *resource.Resource { return v.resources[k] }
+func (v *View) Get(k resource.Key) *resource.Resource {
+	if it := v.table(k.Kind).get(k.Name); it != nil {
+		return it.res
+	}
+	return nil
+}
 
 // Spec returns the decoded spec of a resource, or nil when it does not exist.
-func (v *View) Spec(k resource.Key) resource.Spec { return v.specs[k] }
+func (v *View) Spec(k resource.Key) resource.Spec {
+	if it := v.table(k.Kind).get(k.Name); it != nil {
+		return it.spec
+	}
+	return nil
+}
 
 // Len returns the number of resources.
-func (v *View) Len() int { return len(v.resources) }
+func (v *View) Len() int {
+	n := 0
+	for _, t := range v.tables {
+		n += t.n
+	}
+	return n
+}
 
 // Each calls f for each resource of a kind, or of all kinds when kind is empty, in no particular order, until f returns
 // false.
 func (v *View) Each(kind resource.Kind, f func(*resource.Resource, resource.Spec) bool) {
-	for k, r := range v.resources {
-		if kind != "" && k.Kind != kind {
-			continue
-		}
-		if !f(r, v.specs[k]) {
+	visit := func(it *item) bool { return f(it.res, it.spec) }
+	if kind != "" {
+		v.table(kind).each(visit)
+		return
+	}
+	for _, t := range v.tables {
+		if !t.each(visit) {
 			return
 		}
 	}
@@ -40,6 +68,15 @@
 // none.
 func (v *View) Epoch(region string) uint64 { return v.epochs[region] }
 
+// Member returns the member with a node name.
+func (v *View) Member(node string) (Member, bool) {
+	i := sort.Search(len(v.Members), func(i int) bool { return v.Members[i].Node >= node })
+	if i == len(v.Members) || v.Members[i].Node != node {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
 // RegionMembers returns the members of one region, sorted by node name.
 func (v *View) RegionMembers(region string) []Member {
 	var members []Member
@@ -50,3 +87,46 @@
 	}
 	return members
 }
+
+// Diff calls f for each resource that differs between an older view and this one: before is nil for a new resource,
+// after is nil for a deleted one. Its cost grows with the number of changes, not with the number of resources, when
+// both views come from one State.
+func (v *View) Diff(old *View, f func(before, after *resource.Resource)) {
+	for _, k := range resource.Kinds() {
+		a, b := old.table(k), v.table(k)
+		if a == b {
+			continue
+		}
+		var before, after [shardCount][]*item
+		if a != nil {
+			before = a.shards
+		}
+		if b != nil {
+			after = b.shards
+		}
+		for i := range before {
+			if !sameShard(before[i], after[i]) {
+				diffShard(before[i], after[i], f)
+			}
+		}
+	}
+}
+
+// diffShard merges two slices sorted by name.
+func diffShard(a, b []*item, f func(before, after *resource.Resource)) {
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].res.Name < b[0].res.Name:
+			f(a[0].res, nil)
+			a = a[1:]
+		case len(a) == 0 || b[0].res.Name < a[0].res.Name:
+			f(nil, b[0].res)
+			b = b[1:]
+		default:
+			if a[0].res.Version != b[0].res.Version {
+				f(a[0].res, b[0].res)
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+}
