--- /dev/null
+++ b/standin/platform/http.go
@@ -0,0 +1,343 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"time"
+
+	wire "github.com/berylwharf/berylwharf/platform"
+)
+
+const (
+	// maxBodyBytes bounds a request body: 1 MiB of record data as base64 with JSON around it, and VM lists.
+	maxBodyBytes = 4 << 20
+	// defaultReadRecords and maxReadRecords bound the records in one answer.
+	defaultReadRecords = 256
+	maxReadRecords     = 1024
+)
+
+func (s *Server) routes() {
+	s.mux = http.NewServeMux()
+	s.mux.HandleFunc("POST /v1/log/{stream}", s.faulty(TargetLog, s.handleAppend))
+	s.mux.HandleFunc("GET /v1/log/{stream}", s.faulty(TargetLog, s.handleRead))
+	s.mux.HandleFunc("GET /v1/vms", s.faulty(TargetVMs, s.handleVMs))
+	s.mux.HandleFunc("POST /v1/vms/{name}/drain", s.faulty(TargetVMs, s.handleDrain))
+	s.mux.HandleFunc("POST /v1/vms/{name}/reboot", s.faulty(TargetVMs, s.handleReboot))
+	s.mux.HandleFunc("GET /v1/workers/{name}", s.faulty(TargetWorkers, s.handleWorker))
+	s.mux.HandleFunc("POST /v1/workers/{name}/tasks", s.faulty(TargetWorkers, s.handleStart))
+	s.mux.HandleFunc("POST /v1/workers/{name}/tasks/{task}/{verb}", s.faulty(TargetWorkers, s.handleTask))
+	s.mux.HandleFunc("POST /fault", s.handleInject)
+	s.mux.HandleFunc("GET /fault", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Faults()) })
+	s.mux.HandleFunc("POST /standin/vms", s.handleSetVMs)
+	s.mux.HandleFunc("GET /standin/vms", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.VMs()) })
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// faulty applies the active faults around a handler. The body is read first, so that a delayed request takes effect even
+// when its client has gone.
+func (s *Server) faulty(target string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			fail(w, http.StatusBadRequest, "body: "+err.Error())
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if _, ok := s.faults.take(FaultHang, target, r.Method); ok {
+			s.hang(r)
+			panic(http.ErrAbortHandler)
+		}
+		if _, ok := s.faults.take(FaultOutage, target, r.Method); ok {
+			unavailable(w)
+			return
+		}
+		if f, ok := s.faults.take(FaultDelay, target, r.Method); ok {
+			s.sleep(time.Duration(f.DelayMs) * time.Millisecond)
+		}
+		if _, ok := s.faults.take(FaultLoseAnswer, target, r.Method); ok {
+			h(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		if _, ok := s.faults.take(FaultTruncate, target, r.Method); ok {
+			answer := httptest.NewRecorder()
+			h(answer, r)
+			cut(w, answer)
+		}
+		h(w, r)
+	}
+}
+
+// hang waits until the client has gone, a fault command comes or the server closes.
+func (s *Server) hang(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-s.faults.change():
+	case <-s.closed:
+	}
+}
+
+func (s *Server) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.closed:
+	}
+}
+
+// cut sends the first half of an answer under its full length and closes the connection.
+func cut(w http.ResponseWriter, answer *httptest.ResponseRecorder) {
+	body := answer.Body.Bytes()
+	for k, v := range answer.Header() {
+		w.Header()[k] = v
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		fail(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func fail(w http.ResponseWriter, status int, message string) {
+	reply(w, status, map[string]string{"error": message})
+}
+
+func unavailable(w http.ResponseWriter) {
+	w.Header().Set(wire.EffectHeader, wire.EffectNone)
+	fail(w, http.StatusServiceUnavailable, "outage; nothing took effect")
+}
+
+func decode(r *http.Request, v any) error {
+	dec := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	if err := dec.Decode(v); err != nil {
+		return fmt.Errorf("body: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var req wire.AppendRequest
+	if err := decode(r, &req); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if len(req.Records) == 0 || len(req.Records) > wire.MaxAppendRecords {
+		fail(w, http.StatusBadRequest, fmt.Sprintf("an append holds 1 to %d records", wire.MaxAppendRecords))
+		return
+	}
+	size := 0
+	for _, rec := range req.Records {
+		size += len(rec)
+	}
+	if size > wire.MaxAppendBytes {
+		fail(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("an append holds at most %d bytes", wire.MaxAppendBytes))
+		return
+	}
+	first, next := s.stream(r.PathValue("stream")).append(req.Records, s.cfg.Now(), s.retention())
+	reply(w, http.StatusOK, wire.AppendResponse{First: first, Next: next})
+}
+
+type readQuery struct {
+	from  uint64
+	limit int
+	wait  time.Duration
+}
+
+func parseRead(r *http.Request) (readQuery, error) {
+	q := r.URL.Query()
+	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
+	if err != nil {
+		return readQuery{}, fmt.Errorf("from: %q is not an offset", q.Get("from"))
+	}
+	limit, err := intParam(q.Get("max"), defaultReadRecords)
+	if err != nil || limit < 1 {
+		return readQuery{}, fmt.Errorf("max: %q is not a number above 0", q.Get("max"))
+	}
+	wait, err := intParam(q.Get("wait_ms"), 0)
+	if err != nil || wait < 0 || wait > wire.MaxWaitMs {
+		return readQuery{}, fmt.Errorf("wait_ms: %q (permitted: 0 to %d)", q.Get("wait_ms"), wire.MaxWaitMs)
+	}
+	return readQuery{from: from, limit: min(limit, maxReadRecords), wait: time.Duration(wait) * time.Millisecond}, nil
+}
+
+func intParam(s string, def int) (int, error) {
+	if s == "" {
+		return def, nil
+	}
+	return strconv.Atoi(s)
+}
+
+func (s *Server) handleRead(w http.ResponseWriter, r *http.Request) {
+	q, err := parseRead(r)
+	if err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	st := s.stream(r.PathValue("stream"))
+	timer := time.NewTimer(q.wait)
+	defer timer.Stop()
+	for expired := q.wait == 0; ; {
+		faultChange := s.faults.change()
+		resp, gone, grown := st.read(q.from, q.limit, s.cfg.Now(), s.retention())
+		if gone {
+			reply(w, http.StatusGone, resp)
+			return
+		}
+		if len(resp.Records) > 0 || expired {
+			reply(w, http.StatusOK, resp)
+			return
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			expired = true
+		case <-s.closed:
+			expired = true
+		case <-r.Context().Done():
+			return
+		case <-faultChange:
+			if _, ok := s.faults.take(FaultOutage, TargetLog, r.Method); ok {
+				unavailable(w)
+				return
+			}
+		}
+	}
+}
+
+func (s *Server) handleVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	at := s.cfg.Now().Add(-s.cfg.Lag)
+	list := wire.VMList{AsOf: at, VMs: slices.Clone(s.vms.asOf(at))}
+	s.mu.Unlock()
+	if list.VMs == nil {
+		list.VMs = []wire.VM{}
+	}
+	reply(w, http.StatusOK, list)
+}
+
+func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
+	accepted(w, r, s.drain(r.PathValue("name")))
+}
+
+func (s *Server) handleReboot(w http.ResponseWriter, r *http.Request) {
+	accepted(w, r, s.reboot(r.PathValue("name")))
+}
+
+func accepted(w http.ResponseWriter, r *http.Request, found bool) {
+	if !found {
+		fail(w, http.StatusNotFound, "VM "+r.PathValue("name")+" is not listed")
+		return
+	}
+	reply(w, http.StatusAccepted, struct{}{})
+}
+
+func (s *Server) handleWorker(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vm, wk, ok := s.worker(r.PathValue("name"))
+	if !ok {
+		fail(w, http.StatusNotFound, "worker "+r.PathValue("name")+" is not listed")
+		return
+	}
+	reply(w, http.StatusOK, wk.view(vm, s.cfg.Now(), s.cfg.Lag))
+}
+
+func (s *Server) handleStart(w http.ResponseWriter, r *http.Request) {
+	var req wire.TaskRequest
+	if err := decode(r, &req); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if req.Task == "" || req.LeaseMs <= 0 || req.Cores < 0 || req.MemoryMB < 0 {
+		fail(w, http.StatusBadRequest, "task must be set, lease_ms above 0, cores and memory_mb not negative")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, wk, ok := s.worker(r.PathValue("name"))
+	if !ok {
+		fail(w, http.StatusNotFound, "worker "+r.PathValue("name")+" is not listed")
+		return
+	}
+	if err := wk.start(req, s.cfg.Now()); err != nil {
+		fail(w, http.StatusConflict, err.Error())
+		return
+	}
+	reply(w, http.StatusCreated, struct{}{})
+}
+
+func (s *Server) handleTask(w http.ResponseWriter, r *http.Request) {
+	verb := r.PathValue("verb")
+	switch verb {
+	case "renew", "checkpoint", "throttle", "stop":
+	default:
+		fail(w, http.StatusNotFound, "unknown action "+verb+" (permitted: renew, checkpoint, throttle, stop)")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, wk, ok := s.worker(r.PathValue("name"))
+	if !ok {
+		fail(w, http.StatusNotFound, "worker "+r.PathValue("name")+" is not listed")
+		return
+	}
+	t, ok := wk.act(r.PathValue("task"), verb, s.cfg.Now())
+	if !ok {
+		fail(w, http.StatusNotFound, "task "+r.PathValue("task")+" does not run or its lease has expired")
+		return
+	}
+	reply(w, http.StatusOK, t)
+}
+
+func (s *Server) handleInject(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := decode(r, &f); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := s.Inject(f); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	reply(w, http.StatusOK, s.Faults())
+}
+
+// handleSetVMs replaces the VM list with the body {"vms":[…]}.
+func (s *Server) handleSetVMs(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		VMs []wire.VM `json:"vms"`
+	}
+	if err := decode(r, &req); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if req.VMs == nil {
+		fail(w, http.StatusBadRequest, "vms is missing")
+		return
+	}
+	if err := s.SetVMs(req.VMs); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	reply(w, http.StatusOK, s.VMs())
+}
