--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,305 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/berylwharf/berylwharf/admission"
+	"github.com/berylwharf/berylwharf/claims"
+	"github.com/berylwharf/berylwharf/routing"
+	"github.com/berylwharf/berylwharf/verdict"
+)
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	cfg      Config
+	log      logrus.FieldLogger
+	tracer   trace.Tracer
+	conns    *connTracker
+	reuse    *http.Transport
+	fresh    *http.Transport
+	refusals *refusals
+	flight   flight
+
+	mu    sync.Mutex // serializes SetTable and Close
+	table atomic.Pointer[installed]
+}
+
+// installed is a routing table with the services that serve it.
+type installed struct {
+	table    *routing.Table
+	services map[string]*service
+}
+
+// New returns a handler without a routing table; until SetTable it refuses requests as not ready.
+func New(cfg Config) (*Handler, error) {
+	if cfg.Slots == nil {
+		return nil, errors.New("entry: Config.Slots is missing")
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = logrus.StandardLogger()
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	if cfg.TracerProvider == nil {
+		cfg.TracerProvider = noop.NewTracerProvider()
+	}
+	h := &Handler{cfg: cfg, log: cfg.Logger, conns: newConnTracker()}
+	h.tracer = cfg.TracerProvider.Tracer("github.com/berylwharf/berylwharf/entry")
+	h.reuse = h.conns.transport(true)
+	h.fresh = h.conns.transport(false)
+	h.refusals = &refusals{registry: cfg.Registry}
+	h.flight.byVM = make(map[string]int)
+	return h, nil
+}
+
+func (h *Handler) now() time.Time { return h.cfg.Clock() }
+
+// SetTable installs a routing table. After it returns, no new work starts on a VM that is not in the table; requests in
+// flight on it finish.
+func (h *Handler) SetTable(t *routing.Table) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	customers := make(map[string]admission.Customer, len(t.Customers))
+	for name, c := range t.Customers {
+		customers[name] = admission.Customer{Share: c.Share, Quota: c.Quota}
+	}
+	next := &installed{table: t, services: make(map[string]*service, len(t.Services))}
+	old := h.table.Load()
+	for name, r := range t.Services {
+		var s *service
+		if old != nil {
+			s = old.services[name]
+		}
+		created := s == nil
+		if created {
+			s = newService(h, name)
+		}
+		s.update(h.now(), r, customers)
+		if created {
+			go s.run()
+		}
+		next.services[name] = s
+	}
+	h.table.Store(next)
+	if old == nil {
+		return
+	}
+	for name, s := range old.services {
+		if next.services[name] == nil {
+			s.close()
+			h.log.Infof("entry: service %s left the routing table", name)
+		}
+	}
+}
+
+// SetProbe records the result of a probe of vm for all services.
+func (h *Handler) SetProbe(vm string, p routing.Probe) {
+	in := h.table.Load()
+	if in == nil {
+		return
+	}
+	for _, s := range in.services {
+		s.mu.Lock()
+		s.set.SetProbe(h.now(), vm, p)
+		s.mu.Unlock()
+		s.poke()
+	}
+}
+
+// InFlight returns the number of slots in use on vm by this node, also when vm has left the routing table.
+func (h *Handler) InFlight(vm string) int { return h.flight.on(vm) }
+
+// Drain refuses new requests as not run and waits until the requests in flight have ended or ctx ends.
+func (h *Handler) Drain(ctx context.Context) error {
+	return errors.Wrap(h.flight.drain(ctx), "entry: drain")
+}
+
+// Close stops the goroutines and closes idle connections. It is called after Drain.
+func (h *Handler) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old := h.table.Swap(nil); old != nil {
+		for _, s := range old.services {
+			s.close()
+		}
+	}
+	h.reuse.CloseIdleConnections()
+	h.fresh.CloseIdleConnections()
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rq := new(request)
+	if err := parse(r, rq); err != nil {
+		h.refuse(w, rq, err)
+		return
+	}
+	if !h.flight.enter() {
+		h.refuse(w, rq, rq.refuse(notRun(verdict.ReasonDraining, http.StatusServiceUnavailable, "this node is stopping")))
+		return
+	}
+	defer h.flight.leave()
+	s, err := h.resolve(r, rq)
+	if err != nil {
+		h.refuse(w, rq, rq.refuse(err))
+		return
+	}
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.tracer.Start(ctx, "entry request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("berylwharf.service", rq.service),
+			attribute.String("berylwharf.request_id", rq.id), attribute.String("berylwharf.customer", rq.customer))
+	}
+	if err := rq.readBody(w, r); err != nil {
+		h.refuse(w, rq, rq.refuse(err))
+		return
+	}
+	rq.header = rq.forwarded(r.Header)
+	began := h.now()
+	if rq.claimed() && h.cfg.Claims != nil {
+		h.serveClaimed(ctx, w, rq, s)
+	} else {
+		h.write(w, rq, s, s.process(ctx, rq), func(bool) {})
+	}
+	s.stats.total.Update(h.now().Sub(began).Microseconds())
+}
+
+// resolve finds the service, checks the customer and sets the deadline.
+func (h *Handler) resolve(r *http.Request, rq *request) (*service, *verdict.Error) {
+	in := h.table.Load()
+	if in == nil {
+		return nil, notRun(verdict.ReasonNotReady, http.StatusServiceUnavailable, "this node has no routing table yet")
+	}
+	rq.resolve(r, in.table.Hosts)
+	s := in.services[rq.service]
+	if s == nil {
+		return nil, notRun(verdict.ReasonUnknownService, http.StatusNotFound, "the service is not declared")
+	}
+	rq.spec = s.spec.Load()
+	rq.repeatable = rq.spec.Repeatable(rq.method)
+	if in.table.Customers[rq.customer] == nil {
+		return nil, notRun(verdict.ReasonUnknownCustomer, http.StatusForbidden, "the customer is not declared")
+	}
+	return s, rq.parseDeadline(r.Header, h.now())
+}
+
+// serveClaimed serves a request that may run at most once under its identifier.
+func (h *Handler) serveClaimed(ctx context.Context, w http.ResponseWriter, rq *request, s *service) {
+	key := claims.Key{Customer: rq.customer, Service: rq.service, ID: rq.key}
+	claimCtx, cancel := context.WithDeadline(ctx, rq.deadline)
+	d := h.cfg.Claims.Begin(claimCtx, key, rq.fingerprint(), rq.first)
+	cancel()
+	if d.Result == claims.ResultReplay && d.Answer != nil {
+		replay(d.Answer, rq.method == http.MethodHead).write(w, rq.id)
+		return
+	}
+	if d.Result != claims.ResultGranted {
+		h.refuse(w, rq, claimRefusal(d.Result, rq.first))
+		return
+	}
+	finished := false
+	finish := func(p claims.Phase, a *claims.Answer) {
+		if !finished {
+			finished = true
+			h.cfg.Claims.Finish(key, p, a)
+		}
+	}
+	// A panic on the way leaves it open whether the request ran.
+	defer finish(claims.PhaseUnknown, nil)
+	r := s.process(ctx, rq)
+	// The claim is settled before the caller can act on the outcome and retry.
+	switch {
+	case r.err != nil && r.err.Verdict == verdict.NotRun:
+		finish(claims.PhaseNotRun, nil)
+	case r.err != nil:
+		finish(claims.PhaseUnknown, nil)
+	case r.answer.rest == nil:
+		finish(claims.PhaseDone, r.answer.stored())
+	}
+	h.write(w, rq, s, r, func(complete bool) {
+		if complete {
+			finish(claims.PhaseDone, nil)
+		}
+	})
+}
+
+// claimRefusal states what is known when a claim was not granted. Only a first attempt and a fingerprint mismatch prove
+// that nothing ran under the identifier.
+func claimRefusal(r claims.Result, first bool) *verdict.Error {
+	switch r {
+	case claims.ResultInProgress:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, http.StatusConflict,
+			"another attempt with this identifier is running or ended without an answer")
+	case claims.ResultReplay:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicateDone, http.StatusConflict,
+			"the request completed earlier and its answer was not kept")
+	case claims.ResultMismatch:
+		return notRun(verdict.ReasonIdentifierReused, http.StatusUnprocessableEntity,
+			"the identifier belongs to a different request")
+	case claims.ResultFuture:
+		return notRun(verdict.ReasonIdentifierFuture, http.StatusBadRequest, "the identifier's time is in the future")
+	case claims.ResultUnreachable:
+		e := notRun(verdict.ReasonClaimUnreachable, http.StatusServiceUnavailable,
+			"the nodes that keep this identifier cannot be reached")
+		if !first {
+			e.Verdict = verdict.MayHaveRun
+		}
+		return e
+	}
+	e := verdict.New(verdict.MayHaveRun, verdict.ReasonClaimUnknown, http.StatusServiceUnavailable,
+		"it is not known whether an earlier attempt ran")
+	e.RetryAfter = retryAfter
+	return e
+}
+
+// write sends the outcome to the caller. streamed is told whether a streamed answer was complete.
+func (h *Handler) write(w http.ResponseWriter, rq *request, s *service, r result, streamed func(complete bool)) {
+	if r.err != nil {
+		h.refuse(w, rq, r.err)
+		return
+	}
+	if r.answer.rest == nil {
+		s.stats.answers.Inc(1)
+		r.answer.write(w, rq.id)
+		return
+	}
+	rc := http.NewResponseController(w)
+	// A caller that does not read must not hold the slot beyond the deadline. Writers without deadlines write to memory.
+	_ = rc.SetWriteDeadline(rq.deadline)
+	complete := r.answer.write(w, rq.id)
+	streamed(complete)
+	if !complete {
+		h.log.Debugf("entry: %s: an answer ended early; the caller's connection is aborted", s.name)
+		panic(http.ErrAbortHandler)
+	}
+	s.stats.answers.Inc(1)
+	_ = rc.SetWriteDeadline(time.Time{})
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, rq *request, e *verdict.Error) {
+	h.refusals.count(e)
+	if rq.id != "" {
+		w.Header().Set(HeaderRequestID, rq.id)
+	}
+	if e.Cause != nil {
+		h.log.Debugf("entry: refused a request: %v", e)
+	}
+	e.Write(w, rq.service, rq.id)
+}
--- /dev/null
+++ b/entry/helper_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/routing"
+)
+
+// testTimeout is generous: it only ends a test that hangs.
+const testTimeout = 30 * time.Second
+
+type node struct {
+	t     testing.TB
+	h     *Handler
+	slots *LocalSlots
+	srv   *httptest.Server
+	table *routing.Table
+}
+
+// newNode starts a handler with one service "booking" on the given backend addresses.
+func newNode(t testing.TB, edit func(*Config, *resource.Service), addrs ...string) *node {
+	t.Helper()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n := &node{t: t, slots: NewLocalSlots()}
+	cfg := Config{Node: "entry-a", Zone: "zone-a", Slots: n.slots, Logger: quiet, Seed: 1}
+	spec := &resource.Service{Pool: "pool", Hosts: []string{"booking.test"}, AnswerCheck: resource.AnswerCheckEcho}
+	if edit != nil {
+		edit(&cfg, spec)
+	}
+	spec.SetDefaults()
+	h, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.h = h
+	n.table = tableOf(spec, addrs...)
+	h.SetTable(n.table)
+	n.srv = httptest.NewUnstartedServer(h)
+	n.srv.Config = NewServer(h, 1<<16)
+	n.srv.Start()
+	t.Cleanup(func() {
+		n.srv.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		if err := h.Drain(ctx); err != nil {
+			t.Error(err)
+		}
+		h.Close()
+	})
+	return n
+}
+
+func tableOf(spec *resource.Service, addrs ...string) *routing.Table {
+	svc := &routing.Service{Name: "booking", Spec: spec}
+	for i, a := range addrs {
+		svc.Backends = append(svc.Backends, routing.Backend{VM: "vm-" + string(rune('a'+i)), Zone: "zone-a", Addr: a})
+	}
+	return &routing.Table{
+		Services:  map[string]*routing.Service{"booking": svc},
+		Hosts:     map[string]string{"booking.test": "booking"},
+		Customers: map[string]*resource.Customer{"tanglaw": {Share: 1}, "coldroot": {Share: 1}},
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // reading the answer failed
+}
+
+// do sends one request; pairs are header names and values.
+func (n *node) do(method, path, body string, pairs ...string) reply {
+	n.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, n.srv.URL+path, strings.NewReader(body))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	req.Header.Set(HeaderCustomer, "tanglaw")
+	for i := 0; i < len(pairs); i += 2 {
+		if pairs[i+1] == "" {
+			req.Header.Del(pairs[i])
+			continue
+		}
+		req.Header.Set(pairs[i], pairs[i+1])
+	}
+	resp, err := n.srv.Client().Do(req)
+	if err != nil {
+		return reply{err: err, header: http.Header{}}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+// echoServer starts a backend server that returns the request identifier and then calls fn.
+func echoServer(t testing.TB, fn http.HandlerFunc) (string, *httptest.Server) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		fn(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), s
+}
