--- a/resource/resource.go
+++ b/resource/resource.go
@@ -118,7 +118,8 @@
 	KindVM:       func() Spec { return new(VM) },
 }
 
-// Decode parses and validates a spec. Unknown fields, trailing data and values out of range are errors.
+// Decode parses and validates a spec. Unknown fields, fields that appear twice, trailing data, values out of range and a
+// spec that is too large, as it is or in canonical form, are errors.
 func Decode(key Key, data []byte) (Spec, error) {
 	if err := key.Validate(); err != nil {
 		return nil, err
@@ -146,25 +147,43 @@
 	if err := spec.Validate(); err != nil {
 		return nil, errors.Wrapf(err, "%s: spec", key)
 	}
+	if err := checkCanonicalSize(key, spec, len(data)); err != nil {
+		return nil, err
+	}
 	return spec, nil
 }
 
-// Canonical validates a spec and returns its canonical JSON: defaults filled in, fields in a fixed order, no white
-// space. Equal specs have equal encodings.
+const (
+	// maxEscape is how many bytes one byte can take in canonical form: "<" becomes six characters.
+	maxEscape = 6
+	// maxDefaults is more than all defaults of a spec take.
+	maxDefaults = 1024
+)
+
+// checkCanonicalSize makes sure that the canonical form can be decoded again, since snapshots hold it. Encoding is
+// skipped when the size of the input shows that the form is small enough.
+func checkCanonicalSize(key Key, spec Spec, size int) error {
+	if size*maxEscape+maxDefaults <= MaxSpecBytes {
+		return nil
+	}
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return errors.Wrapf(err, "%s: spec", key)
+	}
+	if len(data) > MaxSpecBytes {
+		return fmt.Errorf("%s: spec has %d bytes in canonical form, at most %d are permitted", key, len(data), MaxSpecBytes)
+	}
+	return nil
+}
+
+// Canonical validates a spec and returns its canonical JSON: defaults filled in, fields in a fixed order, sets sorted, no
+// white space. Equal specs have equal encodings.
 func Canonical(key Key, data []byte) ([]byte, error) {
 	spec, err := Decode(key, data)
 	if err != nil {
 		return nil, err
 	}
-	out, err := json.Marshal(spec)
-	if err != nil {
-		return nil, errors.Wrapf(err, "%s: spec", key)
-	}
-	// Defaults and escapes can make the canonical form longer than the input.
-	if len(out) > MaxSpecBytes {
-		return nil, fmt.Errorf("%s: spec has %d bytes in canonical form, at most %d are permitted", key, len(out), MaxSpecBytes)
-	}
-	return out, nil
+	return json.Marshal(spec)
 }
 
 // ChangedFields returns the sorted names of the top-level fields that differ between two JSON objects.
--- /dev/null
+++ b/resource/resource_test.go
@@ -0,0 +1,198 @@
+package resource
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The random cases are the same in each run; -rapid.seed overrides the seed.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+func key(kind Kind) Key { return Key{Kind: kind, Name: "a"} }
+
+// TestDecodeErrors guards against a spec that is accepted although it is wrong, and against a message that does not name
+// the field.
+func TestDecodeErrors(t *testing.T) {
+	for _, c := range []struct {
+		kind       Kind
+		spec, want string
+	}{
+		{"rack", `{}`, `unknown kind "rack"`},
+		{KindPool, ``, `not a JSON object`},
+		{KindPool, `null`, `not a JSON object`},
+		{KindPool, `[]`, `not a JSON object`},
+		{KindPool, `{`, `unexpected EOF`},
+		{KindPool, `{}}`, `data after the JSON value`},
+		{KindPool, `{}]`, `data after the JSON value`},
+		{KindPool, `{} {}`, `data after the JSON value`},
+		{KindPool, `{"minVM":1}`, `unknown field "minVM"`},
+		{KindPool, `{"minVMs":"1"}`, `minVMs`},
+		{KindPool, `{"minVMs":1,"minVMs":2}`, `minVMs: appears more than once`},
+		{KindPool, `{"minVMs":1,"MINVMS":2}`, `MINVMS: appears more than once`},
+		{KindPool, `{"minVMs":100001}`, `minVMs: 100001 is out of range (permitted: 0 to 100000)`},
+		{KindPool, `{"description":"` + strings.Repeat("a", 1025) + `"}`, `description: at most 1024 bytes`},
+		{KindService, `{}`, `pool: "" is not a pool name`},
+		{KindService, `{"pool":"p","hosts":["A.example"]}`, `hosts: "A.example"`},
+		{KindService, `{"pool":"p","hosts":["a:80"]}`, `hosts: "a:80"`},
+		{KindService, `{"pool":"p","repeatableMethods":["get"]}`, `repeatableMethods: "get" (permitted:`},
+		{KindService, `{"pool":"p","answerCheck":"none"}`, `answerCheck: "none" (permitted: fresh, echo)`},
+		{KindService, `{"pool":"p","maxRunMs":-1}`, `maxRunMs: -1 is out of range`},
+		{KindCustomer, `{}`, `share: 0 is out of range (permitted: 1 to 1000000)`},
+		{KindCustomer, `{"share":1,"availabilityBudget":{"p":{},"p":{}}}`, `p: appears more than once`},
+		{KindCustomer, `{"share":1,"availabilityBudget":{"P":{}}}`, `"P" is not a pool name`},
+		{KindWave, `{"pool":"p","order":["W1"]}`, `order: "W1" is not a VM name`},
+		{KindWave, `{"pool":"p","maxParallel":-1}`, `maxParallel: -1 is out of range`},
+		{KindVM, `{"pool":"p","next":"-"}`, `next: "-" is not a pool name`},
+		{KindConfig, `{"values":{"a":1}}`, `values`},
+		{KindConfig, `{"values":{"a":"` + strings.Repeat("a", MaxSpecBytes) + `"}}`, `at most 65536 are permitted`},
+		{KindConfig, `{"values":{"a":"` + strings.Repeat("<", MaxSpecBytes/2) + `"}}`, `bytes in canonical form, at most 65536`},
+	} {
+		spec, err := Decode(key(c.kind), []byte(c.spec))
+		if err == nil || !strings.Contains(err.Error(), c.want) || spec != nil {
+			t.Errorf("%s %.60s: spec %v, error %v, want %s", c.kind, c.spec, spec, err, c.want)
+		}
+	}
+}
+
+// TestNames guards against names that do not fit into a path, a host name or a metric.
+func TestNames(t *testing.T) {
+	long := strings.Repeat("a", 63)
+	for _, name := range []string{"a", "a.b-c", "9", long} {
+		if err := (Key{Kind: KindPool, Name: name}).Validate(); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, name := range []string{"", "-a", "a-", ".", "A", "a/b", "a_b", "a\n", "é", long + "a"} {
+		if ValidName(name) {
+			t.Errorf("%q is accepted", name)
+		}
+	}
+}
+
+// TestKinds guards against a kind that has no place in the order of application, and against an order in which a
+// resource comes before those that it names.
+func TestKinds(t *testing.T) {
+	kinds := Kinds()
+	if len(kinds) != len(specs) {
+		t.Errorf("%d kinds in the order, %d known", len(kinds), len(specs))
+	}
+	for _, kind := range []Kind{KindService, KindCustomer, KindWave, KindVM} {
+		if slices.Index(kinds, KindPool) > slices.Index(kinds, kind) {
+			t.Errorf("%s comes before pool", kind)
+		}
+	}
+}
+
+// TestFieldError guards against an error that does not tell which field the operators' API is to name.
+func TestFieldError(t *testing.T) {
+	_, err := Decode(key(KindWave), []byte(`{"pool":"p","firstGroup":-1}`))
+	var fe *FieldError
+	if !errors.As(err, &fe) || fe.Field != "firstGroup" {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestChangedFields guards against a conflict that does not name a field which differs.
+func TestChangedFields(t *testing.T) {
+	for _, c := range [][3]string{
+		{`{"a":1,"b":2}`, `{"a":1,"b":3}`, `[b]`},
+		{`{"a":1}`, `{"c":[1],"b":2}`, `[a b c]`},
+		{``, `{"a":1}`, `[a]`},
+		{`{"a":{"x":1}}`, `{"a":{"x":1}}`, `[]`},
+	} {
+		fields, err := ChangedFields([]byte(c[0]), []byte(c[1]))
+		if err != nil || fmt.Sprint(fields) != c[2] {
+			t.Errorf("%s, %s: %v, %v", c[0], c[1], fields, err)
+		}
+	}
+	if _, err := ChangedFields([]byte(`[]`), nil); err == nil {
+		t.Error("an array is accepted")
+	}
+}
+
+// drawSpec draws a valid spec, with fields left out at random.
+func drawSpec(t *rapid.T) (Key, []byte) {
+	name := rapid.StringMatching(`[a-z0-9]([a-z0-9.-]{0,5}[a-z0-9])?`)
+	names := rapid.SliceOfN(name, 0, 4)
+	text := rapid.StringN(0, 20, 40)
+	var spec Spec
+	kind := rapid.SampledFrom(Kinds()).Draw(t, "kind")
+	switch kind {
+	case KindPool:
+		spec = &Pool{Description: text.Draw(t, "description"), MinVMs: rapid.IntRange(0, 9).Draw(t, "minVMs"), Spare: rapid.Bool().Draw(t, "spare")}
+	case KindService:
+		methods := rapid.SliceOfN(rapid.SampledFrom([]string{"GET", "PUT", "DELETE"}), 0, 4)
+		spec = &Service{
+			Pool: name.Draw(t, "pool"), Hosts: names.Draw(t, "hosts"), RepeatableMethods: methods.Draw(t, "methods"),
+			AnswerCheck: rapid.SampledFrom([]AnswerCheck{"", AnswerCheckEcho, AnswerCheckFresh}).Draw(t, "check"),
+			MaxRunMs:    rapid.Int64Range(0, 9).Draw(t, "maxRunMs"), QueueLimit: rapid.IntRange(0, 9).Draw(t, "queueLimit"),
+		}
+	case KindCustomer:
+		budget := rapid.MapOfN(name, rapid.Custom(func(t *rapid.T) Budget { return Budget{rapid.IntRange(0, 9).Draw(t, "max")} }), 0, 3)
+		spec = &Customer{Share: rapid.IntRange(1, 9).Draw(t, "share"), AvailabilityBudget: budget.Draw(t, "budget")}
+	case KindWave:
+		spec = &Wave{Pool: name.Draw(t, "pool"), Order: names.Draw(t, "order"), FirstGroup: rapid.IntRange(0, 9).Draw(t, "firstGroup"), Paused: rapid.Bool().Draw(t, "paused")}
+	case KindConfig:
+		spec = &Config{Values: rapid.MapOfN(text, text, 0, 4).Draw(t, "values")}
+	case KindVM:
+		spec = &VM{Pool: name.Draw(t, "pool"), Drain: rapid.Bool().Draw(t, "drain")}
+	}
+	data, err := json.Marshal(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key(kind), data
+}
+
+// TestCanonicalIdempotent guards against a canonical form that is refused or changes when it is encoded again: apply
+// would then send resources that do not differ, and snapshots could not be read.
+func TestCanonicalIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k, data := drawSpec(t)
+		checkCanonical(t, k, data)
+	})
+}
+
+func checkCanonical(t interface{ Fatalf(string, ...any) }, k Key, data []byte) {
+	spec, err := Decode(k, data)
+	if err != nil {
+		t.Fatalf("%s %s: %v", k, data, err)
+	}
+	once, err := Canonical(k, data)
+	if err != nil {
+		t.Fatalf("%s %s: %v", k, data, err)
+	}
+	twice, err := Canonical(k, once)
+	if err != nil || !bytes.Equal(once, twice) {
+		t.Fatalf("%s: once %s, twice %s, error %v", k, once, twice, err)
+	}
+	again, err := Decode(k, once)
+	if err != nil || !reflect.DeepEqual(spec, again) {
+		t.Fatalf("%s: %#v is decoded from the canonical form as %#v, error %v", k, spec, again, err)
+	}
+}
+
+// FuzzDecode guards against a panic, and against an accepted spec whose canonical form is refused or changes.
+func FuzzDecode(f *testing.F) {
+	f.Add("pool", []byte(`{"minVMs":1}`))
+	f.Add("service", []byte(`{"pool":"a","hosts":["b","a","b"]}`))
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		k := key(Kind(kind))
+		if _, err := Decode(k, data); err == nil {
+			checkCanonical(t, k, data)
+		}
+	})
+}
--- a/resource/specs.go
+++ b/resource/specs.go
@@ -156,7 +156,11 @@
 }
 
 // SetDefaults implements Spec.
-func (c *Customer) SetDefaults() {}
+func (c *Customer) SetDefaults() {
+	if len(c.AvailabilityBudget) == 0 {
+		c.AvailabilityBudget = nil
+	}
+}
 
 // Validate implements Spec.
 func (c *Customer) Validate() error {
@@ -191,6 +195,9 @@
 
 // SetDefaults implements Spec.
 func (w *Wave) SetDefaults() {
+	if len(w.Order) == 0 {
+		w.Order = nil
+	}
 	if w.FirstGroup == 0 {
 		w.FirstGroup = 1
 	}
@@ -258,7 +265,11 @@
 // hostPattern admits host names and IPv4 addresses; an IPv6 address stands in brackets.
 var hostPattern = regexp.MustCompile(`^([a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?|\[[0-9a-f:.]+\])$`)
 
+// sortedSet returns nil for an empty set, as a spec has it that was decoded from its canonical form.
 func sortedSet(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
 	slices.Sort(list)
 	return slices.Compact(list)
 }
