Add membership, claims, slots, peer links and coord

Cause: the daemon needs entry.Claims and entry.Slots between the entry nodes of a region.

Change: the cores map workers and request identifiers to home nodes, decide on claims and move slots by messages; peer holds the authenticated links; coord connects them with follower.Store, joins and leaves the membership, and serves records to the followers of peers.

--- /dev/null
+++ b/coord/fake_test.go
@@ -0,0 +1,89 @@
+package coord
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/berylwharf/berylwharf/follower"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+// fakeLog is the members as a log would order them. The stores of all nodes share it and see a change at once, unless
+// they are held back.
+type fakeLog struct {
+	mu     sync.Mutex
+	view   *statelog.View
+	epochs map[*statelog.View]uint64
+	moved  chan struct{}
+	down   bool
+}
+
+func newFakeLog() *fakeLog {
+	l := &fakeLog{view: &statelog.View{Next: 1}, epochs: make(map[*statelog.View]uint64), moved: make(chan struct{})}
+	return l
+}
+
+func (l *fakeLog) View() *statelog.View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view
+}
+
+func (l *fakeLog) Changed(v *statelog.View) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.view != v {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	return l.moved
+}
+
+func (l *fakeLog) epoch(v *statelog.View) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epochs[v]
+}
+
+func (l *fakeLog) Propose(_ context.Context, c follower.Change) (statelog.Outcome, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return statelog.Outcome{}, &follower.ProposeError{ID: c.ID, Cause: errors.New("the log is down")}
+	}
+	offset := l.view.Next
+	out := statelog.Outcome{ID: c.ID, Status: statelog.StatusAccepted, Offset: offset}
+	members := slices.Clone(l.view.Members)
+	i := slices.IndexFunc(members, func(m statelog.Member) bool { return m.Node == c.Member.Node })
+	var version uint64
+	if i >= 0 {
+		version = members[i].Version
+		members = slices.Delete(members, i, i+1)
+	}
+	next := &statelog.View{Next: offset + 1, Members: l.view.Members}
+	epoch := l.epochs[l.view]
+	if version != c.Base {
+		out.Status, out.Current = statelog.StatusConflict, version
+	} else {
+		if c.Op == statelog.OpJoin {
+			m := *c.Member
+			m.Version = offset
+			members = append(members, m)
+		}
+		slices.SortFunc(members, func(a, b statelog.Member) int { return int(a.Version) - int(b.Version) })
+		next.Members = members
+		epoch = offset
+	}
+	l.view = next
+	l.epochs[next] = epoch
+	close(l.moved)
+	l.moved = make(chan struct{})
+	return out, nil
+}
+
+func (l *fakeLog) Lookup(statelog.RecordID) (statelog.Outcome, bool) {
+	return statelog.Outcome{}, false
+}
--- /dev/null
+++ b/coord/status.go
@@ -0,0 +1,122 @@
+package coord
+
+import (
+	"slices"
+	"time"
+
+	"github.com/berylwharf/berylwharf/peer"
+)
+
+// Status is the coordination as one node sees it.
+type Status struct {
+	Node        string         `json:"node"`
+	Incarnation uint64         `json:"incarnation"`
+	Member      bool           `json:"member"`
+	Epoch       uint64         `json:"epoch"`
+	Covered     bool           `json:"covered"` // all members are known to be at this epoch
+	Draining    bool           `json:"draining"`
+	Members     []MemberStatus `json:"members"`
+	FreeSlots   int            `json:"freeSlots"` // of listed workers homed here
+	HeldSlots   int            `json:"heldSlots"`
+	InUse       int            `json:"slotsInUse"`
+	Quarantined int            `json:"slotsQuarantined"` // kept by this node as a home node
+	Waiting     int            `json:"waitingForSlots"`
+	Claims      int            `json:"claims"`
+	AnswerBytes int            `json:"storedAnswerBytes"`
+}
+
+// MemberStatus is a member as one node sees it.
+type MemberStatus struct {
+	Node        string `json:"node"`
+	VM          string `json:"vm"`
+	Zone        string `json:"zone"`
+	Incarnation uint64 `json:"incarnation"`
+	PeerAddr    string `json:"peerAddr"`
+	Alive       bool   `json:"alive"` // heard of in the last 3 s
+	Epoch       uint64 `json:"epoch"` // greatest that the member is known to have reached
+	Next        uint64 `json:"next"`  // offset up to which it has applied the log
+	FreeSlots   uint32 `json:"freeSlots"`
+	Draining    bool   `json:"draining"`
+}
+
+// Status returns the present state.
+func (c *Coord) Status() Status {
+	v := c.store.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	n := c.slots.Counts()
+	s := Status{
+		Node:        c.cfg.Node,
+		Incarnation: c.incarnation,
+		Member:      c.history.Member(),
+		Covered:     c.history.Covered(),
+		Draining:    c.draining,
+		FreeSlots:   c.freeSlots(now),
+		HeldSlots:   n.Held,
+		InUse:       n.InUse,
+		Quarantined: n.Quarantined,
+		Waiting:     n.Waiting,
+		Claims:      c.table.Len(),
+		AnswerBytes: c.table.AnswerBytes(),
+	}
+	set := c.history.Current()
+	if set == nil {
+		return s
+	}
+	s.Epoch = set.Epoch
+	silent := c.history.Silent(silentAfter, now)
+	for i := range set.Members {
+		m := &set.Members[i]
+		hb := c.heartbeats[m.Node]
+		if m.Node == c.cfg.Node {
+			hb = peer.Heartbeat{Next: v.Next, FreeSlots: uint32(s.FreeSlots), Draining: c.draining}
+		}
+		s.Members = append(s.Members, MemberStatus{
+			Node: m.Node, VM: m.VM, Zone: m.Zone, Incarnation: m.Incarnation, PeerAddr: m.PeerAddr,
+			Alive: !slices.Contains(silent, m.Node), Epoch: c.history.Acknowledged(m.Node),
+			Next: hb.Next, FreeSlots: hb.FreeSlots, Draining: hb.Draining,
+		})
+	}
+	return s
+}
+
+// Member tells whether this node is a member, as it must be to serve callers.
+func (c *Coord) Member() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.history.Member()
+}
+
+// ReleaseWaiting returns the members that have not yet acknowledged the release of a VM: those that have not applied the
+// record at the offset, or still have requests on the VM. This node is included.
+func (c *Coord) ReleaseWaiting(vm string, offset uint64) []string {
+	own := c.store.View().Next
+	var ownInFlight []string
+	if c.cfg.InFlight != nil {
+		ownInFlight = c.cfg.InFlight()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set := c.history.Current()
+	if set == nil {
+		return nil
+	}
+	var waiting []string
+	for i := range set.Members {
+		m := &set.Members[i]
+		next, inFlight := own, ownInFlight
+		if m.Node != c.cfg.Node {
+			hb := c.heartbeats[m.Node]
+			if hb.Incarnation != m.Incarnation {
+				waiting = append(waiting, m.Node)
+				continue
+			}
+			next, inFlight = hb.Next, hb.InFlight
+		}
+		if next <= offset || slices.Contains(inFlight, vm) {
+			waiting = append(waiting, m.Node)
+		}
+	}
+	return waiting
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+const (
+	// handshakeTimeout bounds the whole handshake; it is several round trips between regions.
+	handshakeTimeout = 5 * time.Second
+	challengeBytes   = 32
+	maxHandshake     = 1 << 10
+	maxNodeName      = 64
+)
+
+// Roles in the proof. They differ, so that a proof cannot be sent back to the node that made it.
+const (
+	roleDialer   = "berylwharf peer dialer 1"
+	roleAcceptor = "berylwharf peer acceptor 1"
+)
+
+// hello opens the handshake of each side.
+type hello struct {
+	Node        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Challenge   []byte `cbor:"3,keyasint"`
+}
+
+// proof shows that the sender has the shared key.
+type proof struct {
+	MAC []byte `cbor:"1,keyasint"`
+}
+
+func newHello(node string, incarnation uint64) hello {
+	challenge := make([]byte, challengeBytes)
+	// crypto/rand.Read never returns an error; it ends the process instead.
+	_, _ = rand.Read(challenge)
+	return hello{Node: node, Incarnation: incarnation, Challenge: challenge}
+}
+
+func decodeHello(b []byte) (hello, error) {
+	var h hello
+	if err := decMode.Unmarshal(b, &h); err != nil {
+		return h, errors.Wrap(err, "decode hello")
+	}
+	if h.Node == "" || len(h.Node) > maxNodeName || len(h.Challenge) != challengeBytes {
+		return h, errors.New("hello is not valid")
+	}
+	return h, nil
+}
+
+// mac authenticates both hellos in one role.
+func mac(key []byte, role string, dialer, acceptor hello) []byte {
+	m := hmac.New(sha256.New, key)
+	for _, part := range [][]byte{
+		[]byte(role), []byte(dialer.Node), []byte(acceptor.Node), dialer.Challenge, acceptor.Challenge,
+	} {
+		// Each part is preceded by its length, so that no two lists of parts give the same input.
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		m.Write(n[:])
+		m.Write(part)
+	}
+	var inc [16]byte
+	binary.BigEndian.PutUint64(inc[:8], dialer.Incarnation)
+	binary.BigEndian.PutUint64(inc[8:], acceptor.Incarnation)
+	m.Write(inc[:])
+	return m.Sum(nil)
+}
+
+func send(ctx context.Context, c *websocket.Conn, v any) error {
+	b, err := encMode.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode handshake")
+	}
+	return errors.Wrap(c.Write(ctx, websocket.MessageBinary, b), "handshake")
+}
+
+func receive(ctx context.Context, c *websocket.Conn) ([]byte, error) {
+	kind, b, err := c.Read(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "handshake")
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errors.New("handshake: not a binary message")
+	}
+	return b, nil
+}
+
+func receiveHello(ctx context.Context, c *websocket.Conn) (hello, error) {
+	b, err := receive(ctx, c)
+	if err != nil {
+		return hello{}, err
+	}
+	return decodeHello(b)
+}
+
+// verify reads a proof and compares it in constant time.
+func verify(ctx context.Context, c *websocket.Conn, want []byte) error {
+	b, err := receive(ctx, c)
+	if err != nil {
+		return err
+	}
+	var p proof
+	if err := decMode.Unmarshal(b, &p); err != nil {
+		return errors.Wrap(err, "decode proof")
+	}
+	if !hmac.Equal(p.MAC, want) {
+		return ErrWrongKey
+	}
+	return nil
+}
+
+// handshake runs both sides' proofs. The dialer proves first, so that a node never answers the challenge of someone who
+// has not shown to know the key.
+func handshake(ctx context.Context, c *websocket.Conn, key []byte, own hello, dialed bool) (hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	c.SetReadLimit(maxHandshake)
+	if dialed {
+		return handshakeDialer(ctx, c, key, own)
+	}
+	return handshakeAcceptor(ctx, c, key, own)
+}
+
+func handshakeDialer(ctx context.Context, c *websocket.Conn, key []byte, own hello) (hello, error) {
+	if err := send(ctx, c, own); err != nil {
+		return hello{}, err
+	}
+	other, err := receiveHello(ctx, c)
+	if err != nil {
+		return other, err
+	}
+	if err := send(ctx, c, proof{mac(key, roleDialer, own, other)}); err != nil {
+		return other, err
+	}
+	return other, verify(ctx, c, mac(key, roleAcceptor, own, other))
+}
+
+func handshakeAcceptor(ctx context.Context, c *websocket.Conn, key []byte, own hello) (hello, error) {
+	other, err := receiveHello(ctx, c)
+	if err != nil {
+		return other, err
+	}
+	if err := send(ctx, c, own); err != nil {
+		return other, err
+	}
+	if err := verify(ctx, c, mac(key, roleDialer, other, own)); err != nil {
+		return other, err
+	}
+	return other, send(ctx, c, proof{mac(key, roleAcceptor, other, own)})
+}
