--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/routing"
 )
 
 const (
@@ -18,56 +19,45 @@
 	probeWorkers = 32
 )
 
-// prober asks backend servers for /healthz on a new connection each second. A 503 means that the server is leaving and
-// must get no new work, whatever the VM list says. A failed probe alone changes nothing: the request path learns from its
-// own dials, and a slow server is not a dead one.
+// prober asks backend servers for /healthz on a new connection each second and reports the result. A 503 means that the
+// server is leaving and must get no new work, whatever the VM list says.
 type prober struct {
-	client  *http.Client
-	log     *logrus.Entry
-	changed chan<- struct{}
+	client *http.Client
+	log    logrus.FieldLogger
+	report func(vm string, p routing.Probe)
 
 	mu      sync.Mutex
 	targets []platform.VM
-	leaving map[string]bool
+	last    map[string]routing.Probe
 }
 
-func newProber(log *logrus.Entry, changed chan<- struct{}) *prober {
-	transport := &http.Transport{DisableKeepAlives: true}
+func newProber(log logrus.FieldLogger, report func(vm string, p routing.Probe)) *prober {
 	return &prober{
-		client:  &http.Client{Transport: transport, Timeout: probeTimeout},
-		log:     log,
-		changed: changed,
-		leaving: make(map[string]bool),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: probeTimeout},
+		log:    log,
+		report: report,
+		last:   make(map[string]routing.Probe),
 	}
 }
 
-// setTargets replaces the probed workers.
+// setTargets replaces the probed workers and forgets results of those that are no longer listed.
 func (p *prober) setTargets(vms []platform.VM) {
-	var workers []platform.VM
-	listed := make(map[string]bool)
-	for _, vm := range vms {
-		if vm.Role == platform.RoleWorker {
-			workers = append(workers, vm)
-			listed[vm.Name] = true
-		}
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.targets = workers
-	for name := range p.leaving {
-		if !listed[name] {
-			delete(p.leaving, name)
+	old := p.last
+	p.targets = nil
+	p.last = make(map[string]routing.Probe)
+	for _, vm := range vms {
+		if vm.Role != platform.RoleWorker {
+			continue
+		}
+		p.targets = append(p.targets, vm)
+		if result, ok := old[vm.Name]; ok {
+			p.last[vm.Name] = result
 		}
 	}
 }
 
-// isLeaving reports whether the VM's backend server said that it is leaving.
-func (p *prober) isLeaving(vm string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.leaving[vm]
-}
-
 func (p *prober) run(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -86,58 +76,56 @@
 	p.mu.Lock()
 	targets := p.targets
 	p.mu.Unlock()
-	slots := make(chan struct{}, probeWorkers)
+	permits := make(chan struct{}, probeWorkers)
 	var wg sync.WaitGroup
 	for _, vm := range targets {
-		slots <- struct{}{}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			defer func() { <-slots }()
-			p.probe(ctx, vm)
-		}()
+		permits <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-permits }()
+			p.record(vm.Name, p.probe(ctx, vm))
+		})
 	}
 	wg.Wait()
 }
 
-func (p *prober) probe(ctx context.Context, vm platform.VM) {
+func (p *prober) probe(ctx context.Context, vm platform.VM) routing.Probe {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Addr+"/healthz", http.NoBody)
 	if err != nil {
 		p.log.Warnf("health: address of %s is not usable: %v", vm.Name, err)
-		return
+		return routing.ProbeUnknown
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return
+		return routing.ProbeDead
 	}
 	_ = resp.Body.Close()
-	p.record(vm.Name, resp.StatusCode == http.StatusServiceUnavailable)
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return routing.ProbeLeaving
+	}
+	return routing.ProbeAlive
 }
 
-func (p *prober) record(vm string, leaving bool) {
+func (p *prober) record(vm string, result routing.Probe) {
 	p.mu.Lock()
-	was := p.leaving[vm]
-	if leaving {
-		p.leaving[vm] = true
-	} else {
-		delete(p.leaving, vm)
-	}
+	changed := p.last[vm] != result
+	p.last[vm] = result
 	p.mu.Unlock()
-	if was == leaving {
-		return
+	if changed {
+		p.log.Infof("health: backend server on %s is %s", vm, probeWords[result])
 	}
-	if leaving {
-		p.log.Infof("health: backend server on %s reports that it is leaving", vm)
-	} else {
-		p.log.Infof("health: backend server on %s is back", vm)
-	}
-	notify(p.changed)
+	p.report(vm, result)
 }
 
-// notify wakes the receiver of a channel with a buffer of one. A pending notification covers later ones.
-func notify(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+// result returns the last probe of a VM.
+func (p *prober) result(vm string) routing.Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last[vm]
+}
+
+var probeWords = map[routing.Probe]string{
+	routing.ProbeUnknown: "in an unknown state",
+	routing.ProbeAlive:   "alive",
+	routing.ProbeDead:    "not answering",
+	routing.ProbeLeaving: "leaving",
 }
--- /dev/null
+++ b/daemon/records.go
@@ -0,0 +1,17 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/berylwharf/berylwharf/coord"
+	"github.com/berylwharf/berylwharf/follower"
+)
+
+// peerSource lets the follower ask the peers of coord.
+type peerSource struct{ coord.PeerSource }
+
+// Fetch implements follower.PeerSource.
+func (p *peerSource) Fetch(ctx context.Context, from uint64) (follower.PeerAnswer, error) {
+	answer, err := p.PeerSource.Fetch(ctx, from)
+	return follower.PeerAnswer(answer), err
+}
--- a/daemon/table.go
+++ b/daemon/table.go
@@ -9,14 +9,11 @@
 	"github.com/berylwharf/berylwharf/statelog"
 )
 
-// unavailable tells which VMs are out of use by health probes. A nil func means none.
-type unavailable func(vm string) bool
-
 // buildTable derives the routing table from the declared state and the platform's VM list. A VM gets new work for the
-// services of its pool only while the list shows it as live, no drain is declared, no hand-over to another pool is under
-// way, and its backend server does not report that it is leaving.
-func buildTable(v *statelog.View, vms []platform.VM, out unavailable) *routing.Table {
-	pools := backendsByPool(v, vms, out)
+// services of its pool only while the list shows it as live, no drain is declared, and no hand-over to another pool is
+// under way.
+func buildTable(v *statelog.View, vms []platform.VM) *routing.Table {
+	pools := backendsByPool(v, vms)
 	t := &routing.Table{
 		Services:  make(map[string]*routing.Service),
 		Hosts:     make(map[string]string),
@@ -46,14 +43,14 @@
 	}
 }
 
-func backendsByPool(v *statelog.View, vms []platform.VM, out unavailable) map[string][]routing.Backend {
+func backendsByPool(v *statelog.View, vms []platform.VM) map[string][]routing.Backend {
 	pools := make(map[string][]routing.Backend)
 	for _, vm := range vms {
 		if vm.Role != platform.RoleWorker || vm.State != platform.StateLive {
 			continue
 		}
 		pool, ok := poolOf(v, vm.Name)
-		if !ok || (out != nil && out(vm.Name)) {
+		if !ok {
 			continue
 		}
 		pools[pool] = append(pools[pool], routing.Backend{VM: vm.Name, Zone: vm.Zone, Rack: vm.Rack, Addr: vm.Addr})
