--- a/statelog/assembler.go
+++ b/statelog/assembler.go
@@ -1,6 +1,7 @@
 package statelog
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 
@@ -16,6 +17,7 @@
 type Assembler struct {
 	partial map[chunkKey]*partialSnapshot
 	best    *State
+	window  uint64 // 0 stands for Window
 }
 
 // chunkKey includes the hash, so that a writer that failed in the middle and wrote again at the same offset does not
@@ -57,7 +59,6 @@
 	if p.have < len(p.parts) {
 		return nil
 	}
-	delete(a.partial, key)
 	return a.complete(key, p)
 }
 
@@ -84,9 +85,11 @@
 		whole = append(whole, part...)
 	}
 	if sha256.Sum256(whole) != key.sum {
+		// The parts stay: the writer may write the same snapshot again and so replace the damaged part.
 		return fmt.Errorf("snapshot of %s at offset %d does not match its SHA-256", key.writer, key.offset)
 	}
-	s, err := Restore(whole)
+	delete(a.partial, key)
+	s, err := restore(whole, cmp.Or(a.window, Window))
 	if err != nil {
 		return errors.Wrapf(err, "snapshot of %s at offset %d", key.writer, key.offset)
 	}
--- a/statelog/hash.go
+++ b/statelog/hash.go
@@ -72,6 +72,7 @@
 	b = append(b, tagRemembered, byte(r.outcome.Status))
 	b = append(b, r.outcome.ID[:]...)
 	b.num(r.outcome.Offset)
+	b.num(r.seen)
 	b.num(r.outcome.Current)
 	b = append(b, r.outcome.Winner[:]...)
 	b.str(string(r.removes.Kind))
--- a/statelog/snapshot.go
+++ b/statelog/snapshot.go
@@ -55,7 +55,8 @@
 
 type encodedRemembered struct {
 	_       struct{} `cbor:",toarray"`
-	Offset  uint64
+	Offset  uint64   // where the identifier was first seen
+	Seen    uint64   // where it was last seen
 	ID      RecordID
 	Status  Status
 	Current uint64
@@ -88,9 +89,9 @@
 		e.Epochs = append(e.Epochs, encodedEpoch{Region: r, Epoch: n})
 	}
 	sort.Slice(e.Epochs, func(i, j int) bool { return e.Epochs[i].Region < e.Epochs[j].Region })
-	for i := uint64(0); i < Window; i++ {
-		// The oldest remembered offset is next - Window; positions follow in offset order from there.
-		if r := s.ring[(s.next+i)%Window]; r != nil {
+	for i := uint64(0); i < s.window; i++ {
+		// The oldest remembered offset is next - window; positions follow in offset order from there.
+		if r := s.ring[(s.next+i)%s.window]; r != nil {
 			e.Remembered = append(e.Remembered, r.encode())
 		}
 	}
@@ -105,8 +106,8 @@
 }
 
 func (r *remembered) encode() encodedRemembered {
-	e := encodedRemembered{Offset: r.outcome.Offset, ID: r.outcome.ID, Status: r.outcome.Status, Current: r.outcome.Current,
-		Kind: r.removes.Kind, Name: r.removes.Name}
+	e := encodedRemembered{Offset: r.outcome.Offset, Seen: r.seen, ID: r.outcome.ID, Status: r.outcome.Status,
+		Current: r.outcome.Current, Kind: r.removes.Kind, Name: r.removes.Name}
 	if r.outcome.Winner != (RecordID{}) {
 		e.Winner = r.outcome.Winner[:]
 	}
@@ -115,7 +116,9 @@
 
 // Restore returns the state of an encoding. The hash is computed anew and compared, so a damaged or altered encoding is
 // an error. It never panics.
-func Restore(data []byte) (*State, error) {
+func Restore(data []byte) (*State, error) { return restore(data, Window) }
+
+func restore(data []byte, window uint64) (*State, error) {
 	if len(data) > MaxSnapshotBytes {
 		return nil, fmt.Errorf("snapshot has %d bytes, at most %d are permitted", len(data), MaxSnapshotBytes)
 	}
@@ -129,7 +132,7 @@
 	if e.Next == 0 {
 		return nil, errors.New("snapshot: next offset is zero")
 	}
-	s := New()
+	s := newState(window)
 	s.next = e.Next
 	for _, f := range []func(*encodedState) error{
 		s.restoreResources, s.restoreMembers, s.restoreEpochs, s.restoreRemembered,
@@ -155,7 +158,7 @@
 		if r.Version == 0 || r.Version >= s.next {
 			return fmt.Errorf("%s: version %d is out of range", key, r.Version)
 		}
-		t := s.tables[kindIndex[key.Kind]]
+		t := s.mutable(kindIndex[key.Kind])
 		if t.get(key.Name) != nil {
 			return fmt.Errorf("%s: listed twice", key)
 		}
@@ -199,8 +202,8 @@
 	var last uint64
 	for i := range e.Remembered {
 		r := &e.Remembered[i]
-		if r.Offset <= last || r.Offset >= s.next || r.Offset+Window < s.next {
-			return fmt.Errorf("remembered record at offset %d: out of range", r.Offset)
+		if r.Seen <= last || r.Seen >= s.next || s.next-r.Seen > s.window || r.Offset == 0 || r.Offset > r.Seen {
+			return fmt.Errorf("remembered record at offsets %d and %d: out of range", r.Offset, r.Seen)
 		}
 		if _, ok := s.byID[r.ID]; ok {
 			return fmt.Errorf("record identifier %s: listed twice", r.ID)
@@ -208,23 +211,27 @@
 		if r.Status < StatusAccepted || r.Status > StatusMalformed {
 			return fmt.Errorf("record identifier %s: unknown outcome %d", r.ID, r.Status)
 		}
-		last = r.Offset
+		last = r.Seen
 		s.restoreRecord(r)
 	}
 	return nil
 }
 
-// restoreRecord follows Apply in offset order, so the last removal of a resource that does not exist is its winner.
+// restoreRecord takes, of several removals of a resource that does not exist now, the last.
 func (s *State) restoreRecord(e *encodedRemembered) {
 	r := &remembered{
 		outcome: Outcome{ID: e.ID, Status: e.Status, Offset: e.Offset, Current: e.Current},
+		seen:    e.Seen,
 		removes: resource.Key{Kind: e.Kind, Name: e.Name},
 	}
 	if len(e.Winner) == len(r.outcome.Winner) {
 		copy(r.outcome.Winner[:], e.Winner)
 	}
 	s.remember(r)
-	if r.removes != (resource.Key{}) && !s.exists(r.removes) {
+	if r.removes == (resource.Key{}) || s.exists(r.removes) {
+		return
+	}
+	if other := s.byID[s.removed[r.removes]]; other == nil || other.outcome.Offset < e.Offset {
 		s.removed[r.removes] = e.ID
 	}
 }
@@ -261,14 +268,18 @@
 
 // EncodeChunks splits an encoded state into records of at most MaxChunkBytes.
 func EncodeChunks(state []byte, offset uint64, writer string, unixMsec int64) ([][]byte, error) {
+	return encodeChunks(state, offset, writer, unixMsec, chunkData)
+}
+
+func encodeChunks(state []byte, offset uint64, writer string, unixMsec int64, size int) ([][]byte, error) {
 	if len(state) == 0 || len(state) > MaxSnapshotBytes {
 		return nil, fmt.Errorf("snapshot has %d bytes, 1 to %d are permitted", len(state), MaxSnapshotBytes)
 	}
 	c := Chunk{Offset: offset, Writer: writer, UnixMsec: unixMsec, SHA256: sha256.Sum256(state)}
-	c.Count = uint32((len(state) + chunkData - 1) / chunkData)
+	c.Count = uint32((len(state) + size - 1) / size)
 	var records [][]byte
 	for ; c.Index < c.Count; c.Index++ {
-		n := min(len(state), chunkData)
+		n := min(len(state), size)
 		c.Data, state = state[:n], state[n:]
 		if err := c.validate(); err != nil {
 			return nil, err
--- a/statelog/state.go
+++ b/statelog/state.go
@@ -23,11 +23,12 @@
 // use; its views are.
 type State struct {
 	next    uint64
-	tables  []*table // by kindIndex
+	window  uint64   // Window, or less in tests
+	tables  []*table // by kindIndex, nil for a kind without resources so far
 	shared  []bool   // the table is part of a view and must be copied before a change
 	members []memberItem
 	epochs  map[string]uint64
-	// ring holds the remembered record of offset o at position o % Window, or nil.
+	// ring holds the record whose identifier was last seen at offset o at position o % window, or nil.
 	ring []*remembered
 	byID map[RecordID]*remembered
 	// removed names the record that removed a resource or member, while that record is remembered.
@@ -45,28 +46,28 @@
 	id RecordID
 }
 
-// remembered is a record whose identifier is still known.
+// remembered is a record whose identifier is still known. It is immutable.
 type remembered struct {
 	outcome Outcome
+	seen    uint64       // offset at which the identifier was last seen; outcome.Offset is where it was first seen
 	removes resource.Key // what an accepted delete or leave removed
 }
 
 // New returns the empty state, which has applied nothing; the first offset is 1.
-func New() *State {
+func New() *State { return newState(Window) }
+
+func newState(window uint64) *State {
 	n := len(resource.Kinds())
-	s := &State{
+	return &State{
 		next:    1,
+		window:  window,
 		tables:  make([]*table, n),
 		shared:  make([]bool, n),
 		epochs:  make(map[string]uint64),
-		ring:    make([]*remembered, Window),
+		ring:    make([]*remembered, window),
 		byID:    make(map[RecordID]*remembered),
 		removed: make(map[resource.Key]RecordID),
 	}
-	for i := range s.tables {
-		s.tables[i] = new(table)
-	}
-	return s
 }
 
 // Next returns the offset of the record to apply next.
@@ -93,30 +94,29 @@
 		err = errReadPosition
 	}
 	out := Outcome{Status: StatusMalformed, Offset: offset}
-	var removes resource.Key
-	known := false
+	mem := &remembered{seen: offset}
+	var first *remembered
+	if rec != nil {
+		out.ID = rec.ID
+		first = s.byID[rec.ID]
+	}
 	switch {
-	case rec == nil:
-		out.Message = shortMessage(err)
 	case err != nil:
-		out.ID = rec.ID
 		out.Message = shortMessage(err)
-		_, known = s.byID[rec.ID]
-		known = known || rec.ID == (RecordID{})
+	case first != nil:
+		out = first.outcome
+		out.Duplicate = true
 	default:
-		out.ID = rec.ID
-		var first *remembered
-		if first, known = s.byID[rec.ID]; known {
-			out = first.outcome
-			out.Duplicate = true
-		} else {
-			removes = s.decide(rec, spec, &out)
-		}
+		mem.removes = s.decide(rec, spec, &out)
+	}
+	mem.outcome = out
+	if first != nil {
+		mem.outcome, mem.removes = first.outcome, first.removes
+		s.detach(first)
 	}
-	// The oldest identifier leaves the window after rule 2 has used it and before the new one takes its place.
 	s.forget(offset)
-	if rec != nil && !known {
-		s.remember(&remembered{outcome: out, removes: removes})
+	if out.ID != (RecordID{}) {
+		s.remember(mem)
 	}
 	s.next = offset + 1
 	return out
@@ -124,7 +124,7 @@
 
 // decide applies rules 3 to 5 to a valid record with a new identifier, and returns what it removed.
 func (s *State) decide(rec *Record, spec resource.Spec, out *Outcome) resource.Key {
-	if rec.ReadPos+Window < out.Offset {
+	if rec.ReadPos+s.window < out.Offset {
 		out.Status = StatusStale
 		return resource.Key{}
 	}
@@ -134,7 +134,7 @@
 	i := kindIndex[rec.Key.Kind]
 	cur := s.tables[i].get(rec.Key.Name)
 	var version uint64
-	winner := s.removed[rec.Key]
+	winner := s.remover(rec.Key, out.Offset)
 	if cur != nil {
 		version, winner = cur.res.Version, cur.id
 	}
@@ -165,7 +165,7 @@
 	key := resource.Key{Kind: kindMember, Name: rec.Member.Node}
 	pos, ok := s.findMember(rec.Member.Node)
 	var old memberItem
-	winner := s.removed[key]
+	winner := s.remover(key, out.Offset)
 	if ok {
 		old = s.members[pos]
 		winner = old.id
@@ -214,28 +214,45 @@
 }
 
 func (s *State) mutable(i int) *table {
-	if s.shared[i] {
+	switch {
+	case s.tables[i] == nil:
+		s.tables[i] = new(table)
+	case s.shared[i]:
 		t := *s.tables[i]
 		s.tables[i] = &t
-		s.shared[i] = false
 	}
+	s.shared[i] = false
 	return s.tables[i]
 }
 
+// remover returns the identifier of the record that removed a resource or member less than a window ago.
+func (s *State) remover(k resource.Key, offset uint64) RecordID {
+	r := s.byID[s.removed[k]]
+	if r == nil || r.outcome.Offset+s.window < offset {
+		return RecordID{}
+	}
+	return r.outcome.ID
+}
+
 func (s *State) remember(r *remembered) {
-	s.ring[r.outcome.Offset%Window] = r
+	s.ring[r.seen%s.window] = r
 	s.byID[r.outcome.ID] = r
 	s.sum.toggle(r.digest())
 }
 
+// detach takes a record out of the ring; its identifier was seen again.
+func (s *State) detach(r *remembered) {
+	s.ring[r.seen%s.window] = nil
+	s.sum.toggle(r.digest())
+}
+
 // forget removes the record whose place in the ring the given offset takes.
 func (s *State) forget(offset uint64) {
-	old := s.ring[offset%Window]
+	old := s.ring[offset%s.window]
 	if old == nil {
 		return
 	}
-	s.ring[offset%Window] = nil
-	s.sum.toggle(old.digest())
+	s.detach(old)
 	delete(s.byID, old.outcome.ID)
 	if old.removes != (resource.Key{}) && s.removed[old.removes] == old.outcome.ID {
 		delete(s.removed, old.removes)
--- a/statelog/view.go
+++ b/statelog/view.go
@@ -44,7 +44,9 @@
 func (v *View) Len() int {
 	n := 0
 	for _, t := range v.tables {
-		n += t.n
+		if t != nil {
+			n += t.n
+		}
 	}
 	return n
 }
