Check error answers in the load checker; extend the stand-ins

An error status without a verdict passed as a backend server's own answer, so that an entry node that forgot the verdict went unnoticed. The backend stand-in now identifies the request in its 500 answers too, and the checker counts an answer that does not match its request as swapped whatever its status.

The backend stand-in can pad answers and send them in chunks, to test answers that are streamed. The platform stand-in has the fault fail-tasks: a worker that fails everything it starts. The demo passes the settings file to berylwharfd as its argument.

--- a/cmd/backend-standin/main.go
+++ b/cmd/backend-standin/main.go
@@ -27,6 +27,8 @@
 			&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond, Usage: "mean work time of a run"},
 			&cli.StringFlag{Name: "work-dist", Value: backend.DistFixed, Usage: "distribution of the work time: fixed, exponential, lognormal"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the work time"},
+			&cli.IntFlag{Name: "answer-bytes", Usage: "pad each answer to about this size"},
+			&cli.BoolFlag{Name: "chunked", Usage: "send answers in chunks, without Content-Length"},
 			&cli.DurationFlag{Name: "leave-delay", Usage: "after SIGTERM, serve for this long with /healthz 503 before closing the listener"},
 			&cli.DurationFlag{Name: "shutdown-timeout", Value: 30 * time.Second, Usage: "how long running requests may take after SIGTERM"},
 		},
@@ -44,6 +46,9 @@
 	s, err := backend.Start(c.String("listen"), backend.Config{
 		Name: c.String("name"),
 		Work: backend.Work{Mean: c.Duration("work"), Dist: c.String("work-dist"), Seed: c.Uint64("seed")},
+
+		AnswerBytes: c.Int("answer-bytes"),
+		Chunked:     c.Bool("chunked"),
 	})
 	if err != nil {
 		return err
--- a/cmd/berylwharf-demo/demo.go
+++ b/cmd/berylwharf-demo/demo.go
@@ -136,7 +136,7 @@
 		if err != nil {
 			return err
 		}
-		p, err := d.procs.start(n.node, "berylwharfd", "-settings", file)
+		p, err := d.procs.start(n.node, "berylwharfd", file)
 		if err != nil {
 			return err
 		}
--- a/cmd/berylwharf-demo/main.go
+++ b/cmd/berylwharf-demo/main.go
@@ -17,8 +17,9 @@
 	"github.com/urfave/cli/v2"
 )
 
-// runLimit bounds everything before the stop of the processes, which takes at most two times stopTimeout.
-const runLimit = 42 * time.Second
+// runLimit bounds everything before the stop of the processes, which takes at most two times stopTimeout. Requests in
+// flight at the limit take up to 4 s more, so that the demo ends within 60 s.
+const runLimit = 40 * time.Second
 
 func main() {
 	// The kernel kills started processes when the thread that started them ends, so that thread must be the main one.
--- a/load/attempt.go
+++ b/load/attempt.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,8 +32,8 @@
 	headerKey = "idempotency-key"
 )
 
-// maxAnswerBytes bounds an answer; answers of the stand-in have a few hundred bytes.
-const maxAnswerBytes = 1 << 20
+// maxAnswerBytes bounds an answer in memory. Answers of the stand-in have a few hundred bytes unless they are padded.
+const maxAnswerBytes = 64 << 20
 
 // Kind classifies how an attempt or a request ended.
 type Kind string
@@ -144,15 +145,14 @@
 	if v := resp.Header.Get(verdict.Header); v != "" {
 		return r.classifyRefusal(a, verdict.Verdict(v), resp, data)
 	}
+	a.kind = KindAnswered
 	if resp.StatusCode/100 != 2 {
 		a.kind = KindFailed
 		a.reason = "backend server answered " + strconv.Itoa(resp.StatusCode)
-		return a
 	}
-	a.kind = KindAnswered
 	if fault := r.mismatch(a.requestID, data); fault != "" {
 		a.kind = KindWrong
-		a.reason = fault
+		a.reason = fmt.Sprintf("status %d: %s", resp.StatusCode, fault)
 	}
 	return a
 }
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -64,6 +64,11 @@
 		w.Header().Set(backend.RequestIDHeader, "id-other")
 	case e.lie == "damaged":
 		data = data[:len(data)/2]
+	case e.lie == "error status":
+		w.WriteHeader(http.StatusInternalServerError)
+	case e.lie == "error without verdict":
+		http.Error(w, "upstream failed", http.StatusBadGateway)
+		return
 	case e.lie == "refused falsely":
 		refuse(w, verdict.NotRun, id)
 		return
@@ -153,6 +158,8 @@
 		{"swapped", []Event{read, read}, 0, Counts{Sent: 2, Answered: 1, Wrong: 1, Swapped: 1}},
 		{"wrong id", []Event{read}, 0, Counts{Sent: 1, Wrong: 1, Swapped: 1}},
 		{"damaged", []Event{booking}, 0, Counts{Sent: 1, Wrong: 1, Swapped: 1}},
+		{"error status", []Event{booking}, 0, Counts{Sent: 1, Failed: 1}},
+		{"error without verdict", []Event{booking}, 0, Counts{Sent: 1, Wrong: 1, Swapped: 1}},
 		{"refused falsely", []Event{booking}, 0, Counts{Sent: 1, NotRun: 1, FalseNotRun: 1}},
 		{"refused falsely", []Event{read}, 0, Counts{Sent: 1, NotRun: 1, FalseNotRun: 1}},
 		{"cut", []Event{booking}, 0, Counts{Sent: 1, MayHaveRun: 1, Broken: 1}},
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,7 +24,8 @@
 // maxFaultBytes bounds the body of a fault command.
 const maxFaultBytes = 64 << 10
 
-// Answer is the JSON body of a complete answer. Run is the number of this run among those with the same key, from 1.
+// Answer is the JSON body of a complete answer. Run is the number of this run among those with the same key, from 1, and 0
+// in an answer with status 500, for which nothing ran.
 type Answer struct {
 	Server     string `json:"server"`
 	RequestID  string `json:"requestId"`
@@ -33,6 +35,8 @@
 	Query      string `json:"query,omitempty"`
 	BodySHA256 string `json:"bodySha256"`
 	Run        int    `json:"run"`
+	Error      string `json:"error,omitempty"`
+	Padding    string `json:"padding,omitempty"`
 }
 
 // Runs is the body of GET /runs. Counts is by Idempotency-Key, or by request id for requests without one; a request with
@@ -52,11 +56,15 @@
 type Config struct {
 	Name string // reported in answers
 	Work Work
+	// AnswerBytes pads each answer to about this size, for answers that are too large to be buffered.
+	AnswerBytes int
+	// Chunked sends answers in chunks, without Content-Length.
+	Chunked bool
 }
 
 // Server is the stand-in. Start opens its listener.
 type Server struct {
-	name   string
+	cfg    Config
 	work   *workTimes
 	faults faults
 	gate   *gate
@@ -85,7 +93,7 @@
 		return nil, err
 	}
 	s := &Server{
-		name: cfg.Name, work: newWorkTimes(cfg.Work), gate: g,
+		cfg: cfg, work: newWorkTimes(cfg.Work), gate: g,
 		ended: make(chan struct{}), counts: map[string]int{},
 	}
 	// Without timeouts, so that a silent connection is never closed by this side.
@@ -170,7 +178,7 @@
 		counts[k] = n
 	}
 	return Runs{
-		Server: s.name, Counts: counts, Total: s.total, Running: s.running, MaxRunning: s.maxRunning,
+		Server: s.cfg.Name, Counts: counts, Total: s.total, Running: s.running, MaxRunning: s.maxRunning,
 		Connections: open, MaxConnections: maxOpen, LastStart: s.lastStart,
 	}
 }
@@ -222,25 +230,28 @@
 	if p.has(FaultCloseBefore) {
 		panic(http.ErrAbortHandler)
 	}
+	answer := s.answer(r, hex.EncodeToString(hash.Sum(nil)))
 	if p.has(FaultFailFast) {
-		w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
-		reply(w, http.StatusInternalServerError, map[string]string{"error": "failed at once"})
+		answer.Error = "failed at once"
+		w.Header().Set(RequestIDHeader, answer.RequestID)
+		reply(w, http.StatusInternalServerError, answer)
 		return
 	}
-	answer := s.run(r, p)
-	answer.BodySHA256 = hex.EncodeToString(hash.Sum(nil))
+	answer.Run = s.run(r, p)
 	s.send(w, r, p, answer)
 }
 
-// run counts a run and takes its work time. The run goes on when the connection closes.
-func (s *Server) run(r *http.Request, p plan) Answer {
-	key := r.Header.Get(KeyHeader)
-	id := r.Header.Get(RequestIDHeader)
-	answer := Answer{
-		Server: s.name, RequestID: id, Key: key,
-		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
-		Run: s.begin(key, id),
+// answer identifies a request.
+func (s *Server) answer(r *http.Request, sum string) Answer {
+	return Answer{
+		Server: s.cfg.Name, RequestID: r.Header.Get(RequestIDHeader), Key: r.Header.Get(KeyHeader),
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, BodySHA256: sum,
 	}
+}
+
+// run counts a run, takes its work time and returns its number. The run goes on when the connection closes.
+func (s *Server) run(r *http.Request, p plan) int {
+	number := s.begin(r.Header.Get(KeyHeader), r.Header.Get(RequestIDHeader))
 	defer s.end()
 	work := s.work.draw()
 	if p.has(FaultSlow) {
@@ -254,7 +265,7 @@
 		work -= work / 2
 	}
 	s.sleep(work)
-	return answer
+	return number
 }
 
 func (s *Server) begin(key, id string) int {
@@ -298,27 +309,47 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.sleep(p[FaultLate])
-	data, err := json.Marshal(answer)
-	if err != nil {
-		panic(err)
-	}
+	data := s.encode(answer)
 	if answer.RequestID != "" {
 		w.Header().Set(RequestIDHeader, answer.RequestID)
 	}
-	if p.has(FaultTruncate) {
-		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-		_, _ = w.Write(data[:len(data)/2])
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	}
 	if c := connOf(r.Context()); c != nil && p.has(FaultDuplicateAnswer) {
 		// The first copy goes to the connection directly. net/http has written nothing yet, so the copies do not mix.
 		_, _ = c.Write(rawAnswer(answer.RequestID, data))
 		s.sleep(p[FaultDuplicateAnswer])
 	}
+	if s.cfg.Chunked || p.has(FaultTruncate) {
+		s.sendHalves(w, data, p.has(FaultTruncate))
+		return
+	}
 	replyData(w, http.StatusOK, data)
 }
 
+// sendHalves sends an answer in two parts. With cut, the connection closes after the first.
+func (s *Server) sendHalves(w http.ResponseWriter, data []byte, cut bool) {
+	w.Header().Set("Content-Type", "application/json")
+	if !s.cfg.Chunked {
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	half := len(data) / 2
+	_, _ = w.Write(data[:half])
+	_ = http.NewResponseController(w).Flush()
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data[half:])
+}
+
+// encode returns the answer as JSON, padded to the configured size.
+func (s *Server) encode(answer Answer) []byte {
+	data := mustMarshal(answer)
+	if missing := s.cfg.AnswerBytes - len(data); missing > 0 {
+		answer.Padding = strings.Repeat(".", missing)
+		data = mustMarshal(answer)
+	}
+	return data
+}
+
 func rawAnswer(id string, data []byte) []byte {
 	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(data)) + "\r\n"
 	if id != "" {
@@ -328,11 +359,16 @@
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
+	replyData(w, status, mustMarshal(v))
+}
+
+// mustMarshal encodes a value of this package's types, for which encoding cannot fail.
+func mustMarshal(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
-	replyData(w, status, data)
+	return data
 }
 
 func replyData(w http.ResponseWriter, status int, data []byte) {
--- a/standin/backend/server_test.go
+++ b/standin/backend/server_test.go
@@ -149,6 +149,28 @@
 	}
 }
 
+// TestLargeAnswers guards against padded or chunked answers that are damaged, or that pass as complete when they were cut:
+// they are to test the streaming of answers.
+func TestLargeAnswers(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		s, err := Start("127.0.0.1:0", Config{AnswerBytes: 2 << 20, Chunked: chunked})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		inject(t, s, Fault{Kind: FaultTruncate, Count: 1})
+		cut, whole := dial(t, s), dial(t, s)
+		cut.send("k1", "body")
+		if status, _, err := cut.receive(); status != 200 || !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("chunked %v, cut answer: %d %v", chunked, status, err)
+		}
+		whole.send("k2", "body")
+		if _, a, err := whole.receive(); err != nil || len(a.Padding) < 2<<20-1000 {
+			t.Errorf("chunked %v, whole answer: %d bytes of padding, %v", chunked, len(a.Padding), err)
+		}
+	}
+}
+
 // TestDuplicateAnswer guards against a second copy that is lost or that ends the connection: it must arrive as the answer
 // to the next request on the connection.
 func TestDuplicateAnswer(t *testing.T) {
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -20,6 +20,9 @@
 	FaultTruncate = "truncate"
 	// FaultHang reads a request and never answers; it takes no effect. The connection closes when the fault ends.
 	FaultHang = "hang"
+	// FaultFailTasks lets a worker accept a task that then fails at once: the worker runs it no longer when the answer
+	// arrives.
+	FaultFailTasks = "fail-tasks"
 	// FaultClear ends the faults of the target, all of them when the target is empty or "all".
 	FaultClear = "clear"
 )
@@ -45,9 +48,9 @@
 
 func (f *Fault) validate() error {
 	switch f.Kind {
-	case FaultOutage, FaultDelay, FaultLoseAnswer, FaultTruncate, FaultHang, FaultClear:
+	case FaultOutage, FaultDelay, FaultLoseAnswer, FaultTruncate, FaultHang, FaultFailTasks, FaultClear:
 	default:
-		return fmt.Errorf("kind %q (permitted: outage, delay, lose-answer, truncate, hang, clear)", f.Kind)
+		return fmt.Errorf("kind %q (permitted: outage, delay, lose-answer, truncate, hang, fail-tasks, clear)", f.Kind)
 	}
 	switch f.Target {
 	case "":
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -283,6 +283,9 @@
 		fail(w, http.StatusConflict, err.Error())
 		return
 	}
+	if _, ok := s.faults.take(FaultFailTasks, TargetWorkers, r.Method); ok {
+		wk.act(req.Task, "stop", s.cfg.Now())
+	}
 	reply(w, http.StatusCreated, struct{}{})
 }
 
