--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -116,13 +116,6 @@
 	p.report(vm, result)
 }
 
-// result returns the last probe of a VM.
-func (p *prober) result(vm string) routing.Probe {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.last[vm]
-}
-
 var probeWords = map[routing.Probe]string{
 	routing.ProbeUnknown: "in an unknown state",
 	routing.ProbeAlive:   "alive",
