Show times and the last real error in the demo

The demo named only the end of its own waiting time when a daemon did not serve, which hid the daemon's refusal. It now keeps the last error that was not caused by that end, asks with a deadline of 1 s, and prints the time of each step.

--- a/cmd/berylwharf-demo/demo.go
+++ b/cmd/berylwharf-demo/demo.go
@@ -37,6 +37,7 @@
 	retries        = 2
 	bodyBytes      = 300
 	maxAnswerBytes = 64 << 10
+	checkPause     = 100 * time.Millisecond
 
 	drainedWorker = 2 // number of the booking worker that is drained
 	killedDaemon  = 1 // index of the daemon that is killed
@@ -49,6 +50,7 @@
 	rate     float64
 	duration time.Duration
 	seed     uint64
+	began    time.Time
 
 	platform     string            // address
 	backends     map[string]string // worker VM to address
@@ -59,6 +61,11 @@
 	drainedAt    time.Time
 }
 
+// say prints a line with the time since the start.
+func (d *demo) say(format string, args ...any) {
+	fmt.Printf("%5.1f s  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
 // play starts everything, runs the load with its faults and checks the promises.
 func (d *demo) play(ctx context.Context) error {
 	steps := []struct {
@@ -73,7 +80,7 @@
 		{"waiting until each daemon serves both services", d.waitRoutes},
 	}
 	for _, step := range steps {
-		fmt.Println(step.name)
+		d.say("%s", step.name)
 		if err := step.run(ctx); err != nil {
 			return errors.Wrap(err, step.name)
 		}
@@ -149,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	for i, n := range d.daemons {
-		err := d.until(ctx, func() error {
+		err := until(ctx, func() error {
 			if p := d.daemonProcs[i]; p.ended() {
 				return fatal{fmt.Errorf("%s ended (%s)", p.name, p.cmd.ProcessState)}
 			}
@@ -190,8 +197,8 @@
 	for _, n := range d.daemons {
 		for _, service := range services {
 			url := "http://" + n.callers + "/svc/" + service + "/warm-up"
-			header := http.Header{"Berylwharf-Customer": {"tanglaw"}}
-			if err := d.until(ctx, func() error { return get(ctx, url, header) }); err != nil {
+			header := http.Header{"Berylwharf-Customer": {"tanglaw"}, "Berylwharf-Deadline-Ms": {"1000"}}
+			if err := until(ctx, func() error { return get(ctx, url, header) }); err != nil {
 				return errors.Wrapf(err, "%s, service %s", n.node, service)
 			}
 		}
@@ -202,16 +209,20 @@
 // fatal marks an error after which waiting is pointless.
 type fatal struct{ error }
 
-// until repeats a check until it succeeds or ctx ends, and returns the last error of the check.
-func (d *demo) until(ctx context.Context, check func() error) error {
+// until repeats a check until it succeeds or ctx ends, and returns the last error that was not caused by the end of ctx.
+func until(ctx context.Context, check func() error) error {
+	var last error
 	for {
 		err := check()
 		var f fatal
 		if err == nil || errors.As(err, &f) {
 			return err
 		}
-		if !pause(ctx, 100*time.Millisecond) {
-			return err
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
+		if !pause(ctx, checkPause) {
+			return errors.Wrap(last, "gave up")
 		}
 	}
 }
@@ -269,7 +280,7 @@
 	for _, n := range d.daemons {
 		cfg.Entries = append(cfg.Entries, n.callers)
 	}
-	fmt.Printf("sending %d requests in %s to %d daemons\n", len(events), d.duration, len(d.daemons))
+	d.say("sending %d requests in %s to %d daemons", len(events), d.duration, len(d.daemons))
 	results := make(chan *load.Result, 1)
 	go func() {
 		// The configuration has entries, so that Run returns no error.
@@ -290,7 +301,7 @@
 		return ctx.Err()
 	}
 	vm := workerName("booking", drainedWorker)
-	fmt.Printf("draining %s\n", vm)
+	d.say("draining %s", vm)
 	if _, err := d.command(ctx, "drain", "vm", vm); err != nil {
 		return err
 	}
@@ -299,12 +310,12 @@
 		return ctx.Err()
 	}
 	victim := d.daemonProcs[killedDaemon]
-	fmt.Printf("killing %s with SIGKILL\n", victim.name)
+	d.say("killing %s with SIGKILL", victim.name)
 	victim.kill()
 	if !pause(ctx, goneDelay) {
 		return ctx.Err()
 	}
-	fmt.Printf("removing %s from the VM list\n", victim.name)
+	d.say("removing %s from the VM list", victim.name)
 	return d.unlist(ctx, victim.name)
 }
 
@@ -367,7 +378,7 @@
 	if after > drainBound {
 		return fmt.Errorf("%s got new work %s after its drain, at most %s is permitted", vm, after, drainBound)
 	}
-	fmt.Printf("%s got its last work %s relative to its drain (at most %s is permitted)\n",
+	d.say("%s got its last work %s relative to its drain (at most %s is permitted)",
 		vm, after.Round(time.Millisecond), drainBound)
 	return nil
 }
--- a/cmd/berylwharf-demo/main.go
+++ b/cmd/berylwharf-demo/main.go
@@ -57,19 +57,18 @@
 	defer cancelLimit()
 	d := &demo{
 		procs: &procs{dir: dir, bin: c.String("bin")}, dir: dir,
-		rate: c.Float64("rate"), duration: duration, seed: c.Uint64("seed"),
+		rate: c.Float64("rate"), duration: duration, seed: c.Uint64("seed"), began: time.Now(),
 	}
 	defer func() {
 		err = d.cleanUp(err)
 	}()
-	began := time.Now()
 	if err := d.play(ctx); err != nil {
 		return err
 	}
 	if err := d.stopAll(); err != nil {
 		return err
 	}
-	fmt.Printf("all promises were kept; %.0f s\n", time.Since(began).Seconds())
+	d.say("all promises were kept")
 	return nil
 }
 
