Test three nodes with platform and backend servers; report every VM list to coord

Cause: coord removes a member after its VM was absent in three polled lists, but the daemon passed a list only when it changed, so a killed node kept its slots for ever. A repeat of a booking at another node, sent at once, was refused because the outcome was still on its way to the home nodes. Change: the daemon reports each polled list; a later attempt waits up to 0.6 s for an attempt in progress; daemon tests run the whole path over loopback sockets in one process.

--- a/coord/claims.go
+++ b/coord/claims.go
@@ -24,6 +24,11 @@
 	// staleDelay is the time until a home node that lags behind is asked again.
 	staleDelay = 50 * time.Millisecond
 
+	// inProgressWait bounds how long a later attempt waits for the outcome of an attempt in progress; inProgressDelay is the
+	// first pause, which doubles.
+	inProgressWait  = 600 * time.Millisecond
+	inProgressDelay = 10 * time.Millisecond
+
 	// maxDeliveries bounds the claim outcomes that wait for their acknowledgement. Beyond it an outcome is sent once,
 	// without waiting.
 	maxDeliveries   = 256
@@ -39,13 +44,25 @@
 	homes   []string // all that may hold the claim
 }
 
-// Begin claims a request identifier at its home nodes.
+// Begin claims a request identifier at its home nodes. A later attempt waits a short time for an attempt in progress: the
+// outcome of a completed one may still be on its way to the home nodes when the caller repeats at once.
 func (c *Coord) Begin(ctx context.Context, key claims.Key, fp claims.Fingerprint, first bool) claims.Decision {
 	if key.InFuture(time.Now()) {
 		return claims.Decision{Result: claims.ResultFuture}
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	for waited, delay := time.Duration(0), inProgressDelay; ; waited, delay = waited+delay, 2*delay {
+		d := c.begin(ctx, key, fp, first)
+		if d.Result != claims.ResultInProgress || first || waited >= inProgressWait {
+			return d
+		}
+		pause(ctx, delay)
+	}
+}
+
+// begin makes one attempt to claim.
+func (c *Coord) begin(ctx context.Context, key claims.Key, fp claims.Fingerprint, first bool) claims.Decision {
 	c.mu.Lock()
 	c.nextAttempt++
 	id := claims.AttemptID{Node: c.cfg.Node, Incarnation: c.incarnation, Seq: c.nextAttempt}
--- /dev/null
+++ b/daemon/cluster_test.go
@@ -0,0 +1,295 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylwharf/berylwharf/operator"
+	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/settings"
+	"github.com/berylwharf/berylwharf/standin/backend"
+	platformstandin "github.com/berylwharf/berylwharf/standin/platform"
+)
+
+const (
+	// patience bounds every wait of these tests. It decides nothing about the outcome.
+	patience = 60 * time.Second
+	pause    = 20 * time.Millisecond
+)
+
+// cluster is a platform stand-in, backend servers and entry nodes in one process, joined by loopback sockets.
+type cluster struct {
+	t        *testing.T
+	platform *platformstandin.Server
+	web      *httptest.Server
+	backends map[string]*backend.Server
+	nodes    map[string]*node
+	mu       sync.Mutex
+	vms      []platform.VM
+	later    int // nodes that startLater starts
+}
+
+type node struct {
+	*Daemon
+	stop context.CancelFunc
+	done chan error
+}
+
+func newCluster(t *testing.T, workers, nodes int, work backend.Work) *cluster {
+	return newClusterWithPlatform(t, workers, nodes, work, platformstandin.Config{})
+}
+
+func newClusterWithPlatform(t *testing.T, workers, nodes int, work backend.Work, cfg platformstandin.Config) *cluster {
+	t.Helper()
+	c := &cluster{t: t, backends: make(map[string]*backend.Server), nodes: make(map[string]*node)}
+	var err error
+	if c.platform, err = platformstandin.New(cfg); err != nil {
+		t.Fatal(err)
+	}
+	c.web = httptest.NewServer(c.platform)
+	t.Cleanup(func() { c.platform.Close(); c.web.Close() })
+	for i := range workers {
+		c.startBackend(fmt.Sprintf("w%d", i), work)
+	}
+	c.later = nodes
+	if nodes > 0 {
+		c.later--
+		c.startNode("n0")
+	}
+	return c
+}
+
+// startLater starts the nodes after the first one. A node that joins before any service declares its run time keeps slots
+// in quarantine for the default of 30 s.
+func (c *cluster) startLater() {
+	for i := range c.later {
+		c.startNode(fmt.Sprintf("n%d", i+1))
+	}
+	c.later = 0
+}
+
+func (c *cluster) startBackend(vm string, work backend.Work) {
+	b, err := backend.Start("127.0.0.1:0", backend.Config{Name: vm, Work: work})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { _ = b.Close() })
+	c.backends[vm] = b
+	c.list(platform.VM{Name: vm, Zone: "z", Rack: "r", Role: platform.RoleWorker, Addr: b.Addr(), State: platform.StateLive})
+}
+
+// list adds or replaces an entry of the VM list.
+func (c *cluster) list(vm platform.VM) {
+	c.unlist(vm.Name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = append(c.vms, vm)
+	c.setVMs()
+}
+
+func (c *cluster) unlist(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.vms {
+		if c.vms[i].Name == name {
+			c.vms = append(c.vms[:i], c.vms[i+1:]...)
+			break
+		}
+	}
+	c.setVMs()
+}
+
+func (c *cluster) setVMs() {
+	if err := c.platform.SetVMs(c.vms); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) startNode(name string) *node {
+	c.t.Helper()
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	loopback := []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
+	s := &settings.Settings{
+		Node: name, VM: name, Zone: "z", Region: "r1",
+		Callers:         settings.Callers{Listen: any, MaxHeaderBytes: settings.DefaultMaxHeaderBytes},
+		Operators:       settings.Operators{Listen: any, Allow: loopback},
+		Peers:           settings.Peers{Listen: any, Key: "0123456789abcdef", Allow: loopback},
+		Admin:           settings.Admin{Listen: any},
+		Platform:        settings.Platform{URL: c.web.URL, PollInterval: 50 * time.Millisecond, LogRetention: time.Hour},
+		ShutdownTimeout: patience,
+	}
+	for _, n := range c.nodes {
+		s.Peers.Addresses = append(s.Peers.Addresses, netip.MustParseAddrPort(n.listeners.peers.Addr().String()))
+	}
+	log := logrus.New()
+	log.SetOutput(logWriter{c.t, name})
+	d, err := New(s, log)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.list(platform.VM{
+		Name: name, Zone: "z", Rack: "r", Role: platform.RoleEntry, State: platform.StateLive, Node: name,
+		Addr: d.listeners.peers.Addr().String(),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{Daemon: d, stop: stop, done: make(chan error, 1)}
+	go func() { n.done <- d.Run(ctx) }()
+	c.nodes[name] = n
+	c.t.Cleanup(func() { n.shutDown(c.t) })
+	return n
+}
+
+func (n *node) shutDown(t *testing.T) {
+	n.stop()
+	select {
+	case err := <-n.done:
+		n.done <- err
+	case <-time.After(patience):
+		t.Errorf("node %s did not stop", n.cfg.Node)
+	}
+}
+
+// logWriter shows a node's log when the test fails.
+type logWriter struct {
+	t    *testing.T
+	node string
+}
+
+func (w logWriter) Write(p []byte) (int, error) {
+	if w.t.Context().Err() == nil {
+		w.t.Logf("%s %s", w.node, strings.TrimSuffix(string(p), "\n"))
+	}
+	return len(p), nil
+}
+
+// eventually waits until f holds.
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(pause) {
+		if f() {
+			return
+		}
+	}
+	c.t.Fatalf("waited %s for: %s", patience, what)
+}
+
+func (c *cluster) operatorOf(n string) *operator.Client {
+	client, err := operator.NewClient(operator.ClientConfig{URL: "http://" + c.nodes[n].listeners.operators.Addr().String()})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return client
+}
+
+func (c *cluster) put(n string, key resource.Key, base uint64, spec any) (*operator.ChangeResponse, error) {
+	c.t.Helper()
+	data, err := json.Marshal(spec)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return c.operatorOf(n).Put(ctx, key, &operator.PutRequest{Base: &base, Author: "test@" + n, Spec: data})
+}
+
+// declare puts a pool, a service and a customer, assigns all workers, and waits until every node serves.
+func (c *cluster) declare(maxRun time.Duration) {
+	c.t.Helper()
+	first := "n0"
+	c.awaitReady(first)
+	must := func(kind resource.Kind, name string, spec any) {
+		c.t.Helper()
+		if _, err := c.put(first, resource.Key{Kind: kind, Name: name}, 0, spec); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	must(resource.KindPool, "p", resource.Pool{})
+	must(resource.KindCustomer, "tanglaw", resource.Customer{Share: 1})
+	must(resource.KindService, "booking", resource.Service{
+		Pool: "p", AnswerCheck: resource.AnswerCheckEcho, MaxRunMs: maxRun.Milliseconds(),
+		DefaultDeadlineMs: patience.Milliseconds(),
+	})
+	for vm := range c.backends {
+		must(resource.KindVM, vm, resource.VM{Pool: "p"})
+	}
+	c.startLater()
+	for name, n := range c.nodes {
+		c.awaitReady(name)
+		c.eventually("node "+name+" serves", func() bool { return c.get(n).status == http.StatusOK })
+	}
+}
+
+func (c *cluster) awaitReady(name string) {
+	c.t.Helper()
+	c.eventually("node "+name+" is ready", func() bool { return c.nodes[name].Ready() == "" })
+}
+
+type reply struct {
+	status   int
+	verdict  string
+	replayed bool
+	body     []byte
+	err      error
+}
+
+func (c *cluster) get(n *node) reply { return c.send(n, http.MethodGet, "", "", "") }
+
+// book sends a booking; attempt may be empty.
+func (c *cluster) book(n *node, key, attempt, body string) reply {
+	return c.send(n, http.MethodPost, key, attempt, body)
+}
+
+func (c *cluster) send(n *node, method, key, attempt, body string) reply {
+	url := "http://" + n.listeners.callers.Addr().String() + "/svc/booking/x"
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Header.Set("Berylwharf-Customer", "tanglaw")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	if attempt != "" {
+		req.Header.Set("Berylwharf-Attempt", attempt)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{
+		status: resp.StatusCode, verdict: resp.Header.Get("Berylwharf-Verdict"),
+		replayed: resp.Header.Get("Berylwharf-Replayed") == "true", body: data, err: err,
+	}
+}
+
+func newKey(t *testing.T) string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id.String()
+}
+
+// runs returns how often a key ran at all backend servers.
+func (c *cluster) runs(key string) int {
+	n := 0
+	for _, b := range c.backends {
+		n += b.Runs().Counts[key]
+	}
+	return n
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -180,10 +180,30 @@
 // onVMList installs a new VM list.
 func (d *Daemon) onVMList(list platform.VMList) {
 	d.prober.setTargets(list.VMs)
-	d.coord.SetVMList(list.VMs)
 	notify(d.routes)
 }
 
+// reportVMList passes each polled VM list to coord, changed or not, because a member is removed only after its VM was
+// absent in several polls.
+func (d *Daemon) reportVMList(ctx context.Context) {
+	ticker := time.NewTicker(d.cfg.Platform.PollInterval)
+	defer ticker.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		list, ok := d.poller.List()
+		polled := d.poller.Status().LastSuccess
+		if ok && polled.After(last) {
+			last = polled
+			d.coord.SetVMList(list.VMs)
+		}
+	}
+}
+
 // notify wakes the receiver of a channel with a buffer of one. A pending notification covers later ones.
 func notify(c chan<- struct{}) {
 	select {
@@ -206,6 +226,7 @@
 
 	parts.Go(func() { d.fail(stop, d.follower.Run(partsCtx), partsCtx) })
 	parts.Go(func() { d.poller.Run(partsCtx) })
+	parts.Go(func() { d.reportVMList(partsCtx) })
 	parts.Go(func() { d.prober.run(partsCtx) })
 	parts.Go(func() { d.keepRoutes(partsCtx) })
 	go func() {
