Measure the cost of a node at several fleet sizes

Cause: the capacity page needs slopes measured on running daemons. Change: cmd/berylwharf-capacity runs two daemons against the platform stand-in with 100 to 10,000 workers, 34 pools and 670 customers, and fits a line through the sizes.

--- /dev/null
+++ b/cmd/berylwharf-capacity/main.go
@@ -0,0 +1,69 @@
+// Command berylwharf-capacity measures what a node costs as the fleet grows and prints the measured part of
+// docs/CAPACITY.md.
+//
+// For each fleet size it runs real daemons against the platform stand-in with that many workers, pools and customers, and
+// reads processor time and memory from /proc, and bytes from counting listeners. It then fits a line through the sizes.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v2"
+)
+
+func main() {
+	app := &cli.App{
+		Name:      "berylwharf-capacity",
+		Usage:     "measure the cost of a node at several fleet sizes",
+		ArgsUsage: " ",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of berylwharfd"},
+			&cli.StringFlag{Name: "sizes", Value: "100,1000,4000,10000", Usage: "numbers of workers"},
+			&cli.DurationFlag{Name: "window", Value: 10 * time.Second, Usage: "length of one measurement"},
+			&cli.Float64Flag{Name: "changes", Value: 20, Usage: "changes a second in the loaded window"},
+		},
+		Action: run,
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "berylwharf-capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(c *cli.Context) error {
+	sizes, err := parseSizes(c.String("sizes"))
+	if err != nil {
+		return err
+	}
+	var samples []sample
+	for _, n := range sizes {
+		fmt.Fprintf(os.Stderr, "measuring %d workers\n", n)
+		s, err := measure(c.String("bin"), n, c.Duration("window"), c.Float64("changes"))
+		if err != nil {
+			return errors.Wrapf(err, "%d workers", n)
+		}
+		samples = append(samples, s)
+	}
+	printReport(os.Stdout, samples)
+	return nil
+}
+
+func parseSizes(list string) ([]int, error) {
+	var sizes []int
+	for _, s := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(s))
+		if err != nil || n < 1 || n > 20_000 {
+			return nil, errors.Errorf("-sizes: %q (permitted: numbers from 1 to 20000)", s)
+		}
+		sizes = append(sizes, n)
+	}
+	if len(sizes) < 3 {
+		return nil, errors.New("-sizes: at least 3 sizes are needed for a fit")
+	}
+	return sizes, nil
+}
