Probe only homed workers and poll the VM list conditionally

Ruled out: the log long poll (395 B/s at every size). The VM list is polled with its entity tag (If-None-Match).

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -72,6 +72,10 @@
 	Records RecordSource
 	// InFlight returns the VMs under release on which this node still has requests; nil means none.
 	InFlight func() []string
+	// Health returns the workers that this node found not alive as their home node; nil means none.
+	Health func() []peer.WorkerHealth
+	// OnHealth is called with the workers that another member found not alive, at each of its heartbeats. It may be nil.
+	OnHealth func(node string, workers []peer.WorkerHealth)
 	// ShutdownTimeout bounds the return of slots after the end of Run's context; 0 is 10 s.
 	ShutdownTimeout time.Duration
 	Log             *logrus.Logger   // nil discards
@@ -288,9 +292,15 @@
 	if c.cfg.InFlight != nil {
 		inFlight = c.cfg.InFlight()
 	}
+	var health []peer.WorkerHealth
+	if c.cfg.Health != nil {
+		health = c.cfg.Health()
+		health = health[:min(len(health), peer.MaxHealth)]
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hb := peer.Heartbeat{
+		Health:    health,
 		Zone:      c.cfg.Zone,
 		Next:      v.Next,
 		Draining:  c.draining,
@@ -306,12 +316,23 @@
 }
 
 func (c *Coord) onHeartbeat(from string, hb peer.Heartbeat) {
+	if c.cfg.OnHealth != nil {
+		c.cfg.OnHealth(from, hb.Health)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heartbeats[from] = hb
 	c.history.Acknowledge(from, hb.Incarnation, hb.Epoch, hb.Released, time.Now())
 }
 
+// Homed tells whether this node is the home node of a worker.
+func (c *Coord) Homed(worker string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set := c.history.Current()
+	return set != nil && set.Home(worker) == c.cfg.Node
+}
+
 // freeSlots returns the free slots of the listed workers for which this node is the home node.
 func (c *Coord) freeSlots(now time.Time) int {
 	free := 0
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/berylwharf/berylwharf/follower"
 	"github.com/berylwharf/berylwharf/logclient"
 	"github.com/berylwharf/berylwharf/operator"
+	"github.com/berylwharf/berylwharf/peer"
 	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/settings"
 )
@@ -126,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	d.prober = newProber(d.log, d.entry.SetProbe)
+	d.prober = newProber(d.log, d.coord.Homed, d.entry.SetProbe)
 	d.poller = platform.NewPoller(d.platform, d.cfg.Platform.PollInterval, d.onVMList, d.log)
 	return nil
 }
@@ -170,6 +171,8 @@
 		Peers:           &d.peers.PeerSource,
 		Records:         d.follower,
 		InFlight:        d.releasedInFlight,
+		Health:          func() []peer.WorkerHealth { return d.prober.notAlive() },
+		OnHealth:        func(node string, w []peer.WorkerHealth) { d.prober.onRemote(node, w) },
 		ShutdownTimeout: d.cfg.ShutdownTimeout,
 		Log:             d.log,
 		Metrics:         d.registry,
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -31,6 +31,18 @@
 	InFlight []string `cbor:"9,keyasint,omitempty"`
 	// Released states that the node holds no slots and no quarantines, and will not take or grant any.
 	Released bool `cbor:"10,keyasint,omitempty"`
+	// Health lists the workers that the node probes as their home node and that are not alive, at most MaxHealth.
+	Health []WorkerHealth `cbor:"11,keyasint,omitempty"`
+}
+
+// MaxHealth bounds the workers in one heartbeat, so that an outage of a whole zone does not grow heartbeats without end.
+const MaxHealth = 256
+
+// WorkerHealth is the result of a probe of a worker's backend server.
+type WorkerHealth struct {
+	VM string `cbor:"1,keyasint"`
+	// Leaving states that the server announces its end; otherwise it does not answer.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
 }
 
 // decodeHeartbeat decodes and checks a heartbeat of a node.
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	wire "github.com/berylwharf/berylwharf/platform"
 )
 
@@ -224,7 +226,9 @@
 	}
 }
 
-func (s *Server) handleVMs(w http.ResponseWriter, _ *http.Request) {
+// handleVMs answers with an entity tag over the entries. The time of the list is not part of the tag: a list without
+// changes keeps its tag.
+func (s *Server) handleVMs(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	at := s.cfg.Now().Add(-s.cfg.Lag)
 	list := wire.VMList{AsOf: at, VMs: slices.Clone(s.vms.asOf(at))}
@@ -232,9 +236,23 @@
 	if list.VMs == nil {
 		list.VMs = []wire.VM{}
 	}
+	tag := entityTag(list.VMs)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	reply(w, http.StatusOK, list)
 }
 
+// entityTag returns a strong entity tag over the entries of a list.
+func entityTag(vms []wire.VM) string {
+	h := xxhash.New()
+	// Neither the encoder nor the hash can fail on these types.
+	_ = json.NewEncoder(h).Encode(vms)
+	return strconv.Quote(strconv.FormatUint(h.Sum64(), 16))
+}
+
 func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
 	accepted(w, r, s.drain(r.PathValue("name")))
 }
