Name the winning record in conflicts; report an unreachable server truthfully

Cause: the accept rule now tells which record came first, and a command that cannot reach the server before it sends a change ended with the general error code although it is certain that nothing was changed. The watch command repeated a first connection that failed without a word. Change: conflicts and GET /v1/changes carry the winner's identifier. apply, delete and drain end with exit code 5 when the read before the change fails. Watch returns an error when its first connection fails and reports each reconnect. Result: the new cases in the command tests and in the test against the accept rule pass, also with -race.

--- a/command/apply.go
+++ b/command/apply.go
@@ -93,7 +93,7 @@
 	res := result{Kind: doc.Kind, Name: doc.Name, Result: resultFailed}
 	current, err := s.current(ctx, doc.Key)
 	if err != nil {
-		return res, err
+		return res, beforeChange(err)
 	}
 	base := doc.Version
 	if current != nil {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -140,9 +140,14 @@
 	if code, _, stderr := f.run("", "get", "pool", "--server", server.URL); code != ExitError || !strings.Contains(stderr, "refused") {
 		t.Errorf("get: exit %d, %s", code, stderr)
 	}
-	dialFailed := &changeError{cause: &operator.TransportError{Cause: errors.New("refused")}}
-	if code := exitCode(dialFailed); code != ExitNotAccepted {
-		t.Errorf("change: exit %d", code)
+	if code, _, stderr := f.run("", "watch", "--server", server.URL); code != ExitError || !strings.Contains(stderr, "refused") {
+		t.Errorf("watch: exit %d, %s", code, stderr)
+	}
+	for _, args := range [][]string{{"drain", "vm", "w1"}, {"delete", "vm", "w1"}, {"apply", "-f", "-"}} {
+		code, _, stderr := f.run(`{"kind":"pool","name":"a","spec":{}}`, append(args, "--server", server.URL)...)
+		if code != ExitNotAccepted || !strings.Contains(stderr, "not accepted: ") {
+			t.Errorf("%v: exit %d, %s", args, code, stderr)
+		}
 	}
 	broken := &changeError{cause: &operator.TransportError{MayHaveRun: true, Cause: errors.New("broken")}}
 	if code := exitCode(broken); code != ExitOutcomeUnknown {
--- a/command/delete.go
+++ b/command/delete.go
@@ -30,7 +30,7 @@
 	}
 	current, err := s.client.Get(ctx, key)
 	if err != nil {
-		return err
+		return beforeChange(err)
 	}
 	req := &operator.DeleteRequest{Base: s.base(current.Version), Author: author}
 	if _, err := s.client.Delete(ctx, key, req); err != nil {
--- a/command/drain.go
+++ b/command/drain.go
@@ -39,7 +39,7 @@
 	}
 	current, err := s.client.Get(ctx, key)
 	if err != nil {
-		return err
+		return beforeChange(err)
 	}
 	spec, err := resource.Decode(key, current.Spec)
 	if err != nil {
--- a/command/errors.go
+++ b/command/errors.go
@@ -46,6 +46,15 @@
 	cause error
 }
 
+// beforeChange returns the failure of a read that precedes a change. It proves that the change was not sent.
+func beforeChange(err error) error {
+	var transport *operator.TransportError
+	if errors.As(err, &transport) {
+		err = &operator.TransportError{Cause: transport.Cause}
+	}
+	return &changeError{cause: err}
+}
+
 func (e *changeError) Error() string { return e.cause.Error() }
 func (e *changeError) Unwrap() error { return e.cause }
 
--- a/command/watch.go
+++ b/command/watch.go
@@ -41,7 +41,9 @@
 	if err != nil {
 		return err
 	}
-	req := operator.WatchRequest{From: s.Uint64("from")}
+	req := operator.WatchRequest{From: s.Uint64("from"), Retrying: func(cause error) {
+		_, _ = fmt.Fprintf(s.env.Stderr, "berylwharf: the stream broke (%v); reconnecting\n", cause)
+	}}
 	if len(args) == 1 {
 		if req.Kind, err = parseKind(args[0]); err != nil {
 			return err
--- a/operator/api.go
+++ b/operator/api.go
@@ -57,6 +57,7 @@
 	Status  string `json:"status"` // accepted, conflict, stale or malformed
 	Offset  uint64 `json:"offset"`
 	Current uint64 `json:"current,omitempty"` // on conflict: the version at that offset
+	Winner  string `json:"winner,omitempty"`  // on conflict: the identifier of the record that set or removed it
 	Message string `json:"message,omitempty"`
 }
 
@@ -159,6 +160,7 @@
 	// In a conflict: the resource as it is now (nil when it does not exist), who changed it, and the fields concerned.
 	Current      *resource.Resource `json:"current,omitempty"`
 	Author       string             `json:"author,omitempty"`
+	Winner       string             `json:"winner,omitempty"` // identifier of the record that came first
 	ComparedWith string             `json:"comparedWith,omitempty"`
 	Fields       []FieldChange      `json:"fields,omitempty"`
 }
--- a/operator/client_watch.go
+++ b/operator/client_watch.go
@@ -27,11 +27,13 @@
 	// From is an offset: resources changed at or after it are reported first. 0: all resources.
 	From uint64
 	Kind resource.Kind // empty: all kinds
+	// Retrying is called with the reason before each reconnect. It may be nil.
+	Retrying func(error)
 }
 
 // Watch calls f for each changed and each deleted resource and for each EventSynced, until f returns an error, the
-// context ends or the server refuses the request. It reconnects when the stream breaks and reports each deletion once,
-// also of resources that were deleted in between, if it reported them before.
+// context ends, the server refuses the request, or the first connection fails. Later it reconnects when the stream
+// breaks, and reports each deletion once, also of resources that were deleted in between, if it reported them before.
 func (c *Client) Watch(ctx context.Context, req WatchRequest, f func(*Event) error) error {
 	w := &watcher{client: c, WatchRequest: req, report: f, known: make(map[resource.Key]uint64), delay: firstReconnect}
 	for {
@@ -44,6 +46,11 @@
 			return w.stopped
 		case errors.As(err, &refused) && refused.StatusCode < http.StatusInternalServerError:
 			return refused
+		case !w.connected:
+			return clientError(err)
+		}
+		if req.Retrying != nil {
+			req.Retrying(err)
 		}
 		if err := c.config.Wait(ctx, w.delay); err != nil {
 			return err
@@ -60,6 +67,8 @@
 	known   map[resource.Key]uint64 // versions that were reported
 	stopped error                   // returned by report
 	delay   time.Duration
+
+	connected bool // a stream was opened before
 }
 
 // stream reads one connection until it breaks.
@@ -92,7 +101,7 @@
 			return err
 		}
 		silence.Reset(watchSilence)
-		w.delay = firstReconnect
+		w.delay, w.connected = firstReconnect, true
 		if w.event(e); w.stopped != nil {
 			return w.stopped
 		}
--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/statelog"
 )
 
 // maxHistory bounds the specs of earlier versions that are kept to explain conflicts. At the usual size of 500 bytes
@@ -48,10 +49,10 @@
 	return h.specs[versionKey{key, version}]
 }
 
-// conflict describes a change that lost against another one. sent is nil for a deletion.
-func (s *service) conflict(c *change) *Error {
+// conflict describes a change that lost against the record winner.
+func (s *service) conflict(c *change, winner statelog.RecordID) *Error {
 	current := s.store.Current().Get(c.Key)
-	err := &Error{StatusCode: http.StatusConflict, Code: CodeConflict, ID: c.ID.String(), Current: current}
+	err := &Error{StatusCode: http.StatusConflict, Code: CodeConflict, ID: c.ID.String(), Current: current, Winner: idText(winner)}
 	if current == nil {
 		err.Message = fmt.Sprintf("%s does not exist any more; the change was based on version %d", c.Key, c.Base)
 		return err
--- a/operator/follower_test.go
+++ b/operator/follower_test.go
@@ -79,7 +79,7 @@
 	}{
 		{"PUT", "/v1/resources/pool/intake", `{"base":0,"id":"` + testID + `","author":"juan","spec":{"minVMs":1}}`, 200, `"offset":1`},
 		{"PUT", "/v1/resources/pool/intake", `{"base":0,"id":"` + testID + `","author":"juan","spec":{"minVMs":1}}`, 200, `"offset":1`},
-		{"PUT", "/v1/resources/pool/intake", `{"base":0,"author":"ana","spec":{"minVMs":3}}`, 409, `"author":"juan"`},
+		{"PUT", "/v1/resources/pool/intake", `{"base":0,"author":"ana","spec":{"minVMs":3}}`, 409, `"author":"juan","winner":"` + testID + `"`},
 		{"PUT", "/v1/resources/pool/intake", `{"base":1,"author":"ana","spec":{"minVMs":3}}`, 200, `"offset":3`},
 		{"PUT", "/v1/resources/pool/intake", `{"base":1,"author":"juan","spec":{"minVMs":2}}`, 409, `"comparedWith":"base","fields":[{"field":"minVMs","base":1,"current":3,"sent":2}]`},
 		{"GET", "/v1/changes/" + testID, "", 200, `"status":"accepted","offset":1`},
--- a/operator/service.go
+++ b/operator/service.go
@@ -84,7 +84,7 @@
 		return s.accepted(c, out.Offset)
 	case statelog.StatusConflict:
 		s.Log.Infof("operators: %s by %q lost a conflict", c.Key, c.Author)
-		return nil, s.conflict(c)
+		return nil, s.conflict(c, out.Winner)
 	case statelog.StatusMalformed:
 		err := errorf(http.StatusUnprocessableEntity, CodeInvalid, "", "%s", out.Message)
 		err.ID = id
@@ -170,7 +170,7 @@
 		err.ID = id.String()
 		return nil, err
 	}
-	return &ChangeStatus{ID: id.String(), Status: out.Status.String(), Offset: out.Offset, Current: out.Current, Message: out.Message}, nil
+	return &ChangeStatus{ID: id.String(), Status: out.Status.String(), Offset: out.Offset, Current: out.Current, Winner: idText(out.Winner), Message: out.Message}, nil
 }
 
 func (s *service) nodes(context.Context) (*NodesResponse, error) {
@@ -208,6 +208,14 @@
 	}
 }
 
+// idText returns an empty string for the zero identifier.
+func idText(id statelog.RecordID) string {
+	if id == (statelog.RecordID{}) {
+		return ""
+	}
+	return id.String()
+}
+
 func newRecordID() statelog.RecordID {
 	var id statelog.RecordID
 	_, _ = rand.Read(id[:]) // never fails, see package crypto/rand
