--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -97,7 +97,7 @@
 		{"put without spec", "PUT", "/v1/resources/pool/intake", `{"base":1,"author":"juan"}`, nil, 422, `"field":"spec"`},
 		{"put unknown spec field", "PUT", "/v1/resources/pool/intake", `{"base":1,"author":"juan","spec":{"max":1}}`, nil, 422, `"field":"spec.max"`},
 		{"put spec of wrong type", "PUT", "/v1/resources/pool/intake", `{"base":1,"author":"juan","spec":{"minVMs":"1"}}`, nil, 422, `"field":"spec.minVMs"`},
-		{"put spec out of range", "PUT", "/v1/resources/pool/intake", `{"base":1,"author":"juan","spec":{"minVMs":-1}}`, nil, 422, `-1 is out of range (permitted: 0 to 100000)","field":"spec.minVMs"`},
+		{"put spec out of range", "PUT", "/v1/resources/pool/intake", `{"base":1,"author":"juan","spec":{"minVMs":-1}}`, nil, 422, `{"error":"invalid","message":"-1 is out of range (permitted: 0 to 100000)","field":"spec.minVMs","id":"`},
 		{"put long description", "PUT", "/v1/resources/pool/intake", long, nil, 422, `"field":"spec.description"`},
 
 		{"service without pool", "PUT", "/v1/resources/service/b", `{"base":0,"author":"juan","spec":{"pool":"p"}}`, nil, 422, `"error":"missing_reference","message":"service/b names pool/p, which does not exist","field":"spec.pool"`},
--- a/operator/transport.go
+++ b/operator/transport.go
@@ -136,6 +136,10 @@
 
 func invalidSpec(c *change, cause error) error {
 	err := errorf(http.StatusUnprocessableEntity, CodeInvalid, specField(cause), "%v", cause)
+	var fe *resource.FieldError
+	if errors.As(cause, &fe) {
+		err.Message = fe.Problem // Field names the field
+	}
 	err.ID = c.ID.String()
 	return err
 }
