Test the exit codes of the change command

Cause: the example of berylwharf change in docs/operators.md had no test behind it. Change: a test of the outcomes accepted, conflict and stale.

--- a/command/change.go
+++ b/command/change.go
@@ -53,7 +53,7 @@
 	if code == ExitDone {
 		return nil
 	}
-	text := "the change was not accepted: " + status.Status
+	text := "the change is " + status.Status
 	if status.Status == statelog.StatusConflict.String() {
 		text = fmt.Sprintf("the resource was at version %d", status.Current)
 	}
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -14,9 +14,11 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/berylwharf/berylwharf/follower"
 	"github.com/berylwharf/berylwharf/operator"
 	"github.com/berylwharf/berylwharf/operator/operatortest"
 	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/statelog"
 )
 
 // recordIDs matches identifiers that the client made, which differ in each run.
@@ -155,6 +157,39 @@
 	}
 }
 
+// TestChange guards against an outcome with the wrong exit code, after which a script would repeat a change that was
+// made or drop one that was not.
+func TestChange(t *testing.T) {
+	f := newFixture(t)
+	f.store.Put("maria", resource.KindPool, "a", `{}`)
+	propose := func(id byte, base uint64) {
+		spec := []byte(`{"minVMs":1}`)
+		key := resource.Key{Kind: resource.KindPool, Name: "a"}
+		_, err := f.store.Propose(context.Background(), follower.Change{ID: statelog.RecordID{id}, Op: statelog.OpPut, Key: key, Base: base, Spec: spec})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	propose(1, 1)
+	propose(2, 1)
+	f.store.Fail(operatortest.Stale)
+	propose(3, 2)
+	for _, c := range []struct {
+		id          byte
+		code        int
+		out, errOut string
+	}{
+		{1, ExitDone, "ID accepted at offset 2\n", ""},
+		{2, ExitConflict, "ID conflict at offset 3\n", "berylwharf: conflict: the resource was at version 2\n"},
+		{3, ExitNotAccepted, "ID stale at offset 4\n", "berylwharf: not accepted: the change is stale\n"},
+	} {
+		code, out, errOut := f.run("", "change", statelog.RecordID{c.id}.String())
+		if code != c.code || out != c.out || errOut != c.errOut {
+			t.Errorf("identifier %d: exit %d, %q, %q", c.id, code, out, errOut)
+		}
+	}
+}
+
 // TestWatch guards against a watch that misses a change or a deletion, or does not end when it is interrupted.
 func TestWatch(t *testing.T) {
 	f := newFixture(t)
