Show 25 log lines of each process when the demo fails

15 lines of a daemon's log ended before the lines that tell when it joined, which are the ones needed to explain a daemon that grants no slots.

--- a/cmd/berylwharf-demo/procs.go
+++ b/cmd/berylwharf-demo/procs.go
@@ -21,7 +21,7 @@
 	// stopTimeout bounds a graceful stop; SIGKILL follows.
 	stopTimeout = 8 * time.Second
 	// logTailLines is the number of lines shown of each log after a failure.
-	logTailLines = 15
+	logTailLines = 25
 	pollPause    = 20 * time.Millisecond
 
 	listeningPrefix = "listening on "
