Grant slots at once when no member was ever removed

Cause: nodes that start together on an empty log see the epoch move from 0 to 2 in one batch. Ruled out: staggering the starts, which only hides it. When there was none, all holders are members and report what they hold, so that no quarantine is needed.

--- a/coord/member.go
+++ b/coord/member.go
@@ -64,6 +64,7 @@
 	c.step(func(now time.Time) {
 		c.slots.SetMaxRun(maxRun)
 		set := membership.NewSet(epoch, members)
+		set.NeverRemoved = epoch > 0 && v.Removal(c.cfg.Region) == 0
 		if moved = c.history.Observe(set, now); !moved {
 			return
 		}
--- a/membership/set.go
+++ b/membership/set.go
@@ -15,7 +15,9 @@
 type Set struct {
 	Epoch   uint64
 	Members []statelog.Member // sorted by node name
-	hashes  []uint64
+	// NeverRemoved states that no member was ever removed or replaced in the region, so that members alone hold slots.
+	NeverRemoved bool
+	hashes       []uint64
 }
 
 // NewSet returns the set of members at an epoch. It keeps a sorted copy of members.
--- a/planner/budget.go
+++ b/planner/budget.go
@@ -72,17 +72,30 @@
 	return p == PhaseDraining || p == PhaseRebooting || p == PhaseVerifying
 }
 
-// takeOut books one more VM as unavailable by plan. It returns a reason and books nothing when a budget, the pool's lower
-// bound or the rule of one failure domain at a time does not permit it. A VM that is unavailable already costs nothing.
-func (l *ledger) takeOut(v *VM) (reason string) {
+// takeOutForMaintenance is takeOut with the rule of one failure domain at a time.
+func (l *ledger) takeOutForMaintenance(v *VM) (reason string) {
 	u := l.use(v.Pool)
 	if u.domain != "" && u.domain != v.Rack {
 		return fmt.Sprintf("pool %s has maintenance in rack %s; one failure domain at a time", v.Pool, u.domain)
 	}
-	if !v.Available() {
-		u.domain = v.Rack
-		return ""
+	if reason := l.takeOut(v); reason != "" {
+		return reason
+	}
+	u.domain = v.Rack
+	return ""
+}
+
+// takeOut books one more VM as unavailable by plan. It returns a reason and books nothing when a budget or the pool's
+// lower bound does not permit it. A VM that is unavailable already costs nothing.
+func (l *ledger) takeOut(v *VM) (reason string) {
+	if v.Available() {
+		return l.spend(v)
 	}
+	return ""
+}
+
+func (l *ledger) spend(v *VM) (reason string) {
+	u := l.use(v.Pool)
 	if b, ok := l.budgets[v.Pool]; ok && u.unavailable+1 > b.MaxUnavailable {
 		left := max(b.MaxUnavailable-u.unavailable, 0)
 		return fmt.Sprintf("customer %s has %d of %d unavailable VMs left in pool %s",
@@ -92,6 +105,5 @@
 		return fmt.Sprintf("pool %s has %d available VMs and needs %d", v.Pool, u.total-u.unavailable, low)
 	}
 	u.unavailable++
-	u.domain = v.Rack
 	return ""
 }
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -14,7 +14,7 @@
 	PhaseDraining  Phase = "draining"
 	PhaseRebooting Phase = "rebooting"
 	PhaseVerifying Phase = "verifying"
-	PhaseFailed    Phase = "failed" // did not come back within its deadline
+	PhaseReleasing Phase = "releasing" // on its way to another pool
 )
 
 // VM is one machine as observed: its declared state from the log, and its condition from the VM list and probes.
@@ -28,11 +28,13 @@
 	PhaseSince time.Time
 	// Wave names the wave that put the VM into maintenance.
 	Wave string
-	// Drained states that an operator declared a drain, or that the VM is being handed over to another pool.
+	// Drained states that an operator declared a drain.
 	Drained bool
+	// Next is the pool to which an operator moves the VM, empty when it stays.
+	Next string
 	// Healthy states that the VM is listed as live and that its backend server answers.
 	Healthy bool
-	// Idle states that no request and no task runs on the VM.
+	// Idle states that no request and no task runs on the VM, and that every member has acknowledged that it starts none.
 	Idle bool
 	// Rebooted states that the VM was seen to restart after PhaseSince.
 	Rebooted bool
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -17,6 +17,8 @@
 	StepGiveUp   StepKind = "give-up"   // the VM did not come back; count it as failed
 	StepCancel   StepKind = "cancel"    // the VM could not be drained; give it work again and count it as failed
 	StepStopWave StepKind = "stop-wave" // failures within the wave correlate
+	StepRelease  StepKind = "release"   // the VM's old pool stops using it
+	StepAssign   StepKind = "assign"    // every member acknowledged the release; the next pool uses the VM
 )
 
 // Step is one planned action. VM is empty for StepStopWave.
@@ -67,6 +69,7 @@
 		p.advance(&f.VMs[i], d, now)
 	}
 	l := newLedger(f)
+	p.planMoves(f, l)
 	for _, w := range f.sortedWaves() {
 		p.planWave(f, l, w)
 	}
@@ -78,7 +81,9 @@
 func (p *Plan) advance(v *VM, d Deadlines, now time.Time) {
 	elapsed := now.Sub(v.PhaseSince)
 	switch v.Phase {
-	case PhaseServing, PhaseFailed:
+	case PhaseServing:
+	case PhaseReleasing:
+		p.advanceRelease(v)
 	case PhaseDraining:
 		p.advanceDrain(v, d, elapsed)
 	case PhaseRebooting:
--- a/planner/wave.go
+++ b/planner/wave.go
@@ -70,7 +70,7 @@
 			p.waitWave(w, fmt.Sprintf("%d VMs in maintenance, at most %d now", active+started, limit))
 			return
 		}
-		if reason := l.takeOut(v); reason != "" {
+		if reason := l.takeOutForMaintenance(v); reason != "" {
 			p.Waits = append(p.Waits, Wait{Wave: w.Name, VM: v.Name, Reason: reason})
 			return
 		}
@@ -94,7 +94,7 @@
 			if v.Wave == w.Name {
 				active++
 			}
-		case v.Phase == PhaseServing && !v.Drained:
+		case v.Phase == PhaseServing && !v.Drained && v.Next == "":
 			next = append(next, v)
 		}
 	}
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -24,12 +24,14 @@
 	KindWave     Kind = "wave"
 	KindConfig   Kind = "config"
 	KindVM       Kind = "vm"
+	// KindMaintenance is written by the daemons; see Maintenance.
+	KindMaintenance Kind = "maintenance"
 )
 
 // Kinds returns all kinds in the order in which a set of resources is applied: a resource comes after those that it
 // names.
 func Kinds() []Kind {
-	return []Kind{KindConfig, KindPool, KindCustomer, KindService, KindVM, KindWave}
+	return []Kind{KindConfig, KindPool, KindCustomer, KindService, KindVM, KindWave, KindMaintenance}
 }
 
 const (
@@ -116,6 +118,8 @@
 	KindWave:     func() Spec { return new(Wave) },
 	KindConfig:   func() Spec { return new(Config) },
 	KindVM:       func() Spec { return new(VM) },
+
+	KindMaintenance: func() Spec { return new(Maintenance) },
 }
 
 // Decode parses and validates a spec. Unknown fields, fields that appear twice, trailing data, values out of range and a
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -149,6 +149,13 @@
 		spec = &Config{Values: rapid.MapOfN(text, text, 0, 4).Draw(t, "values")}
 	case KindVM:
 		spec = &VM{Pool: name.Draw(t, "pool"), Drain: rapid.Bool().Draw(t, "drain")}
+	case KindMaintenance:
+		vms := rapid.SliceOfNDistinct(name, 0, 4, func(s string) string { return s }).Draw(t, "vms")
+		m := &Maintenance{}
+		for _, vm := range vms {
+			m.Active = append(m.Active, ActiveVM{VM: vm, Wave: "w", Phase: PhaseDraining, SinceMs: rapid.Int64().Draw(t, "since")})
+		}
+		spec = m
 	}
 	data, err := json.Marshal(spec)
 	if err != nil {
--- a/slots/home.go
+++ b/slots/home.go
@@ -98,12 +98,12 @@
 	prev := h.current()
 	if prev == nil {
 		h.aware = now
-		if set.Epoch > 0 {
+		if set.Epoch > 0 && !set.NeverRemoved {
 			// Members may have been removed shortly before this node started to look.
 			h.aware = now.Add(h.maxRun)
 		}
 	}
-	if prev != nil && prev.set.Epoch == 0 && (gap || !member) {
+	if prev != nil && prev.set.Epoch == 0 && (gap || !member) && !set.NeverRemoved {
 		// The empty state was that of a node that had not caught up.
 		h.aware = now.Add(h.maxRun)
 	}
--- a/statelog/hash.go
+++ b/statelog/hash.go
@@ -59,10 +59,11 @@
 	return sha256.Sum256(b)
 }
 
-func epochDigest(region string, epoch uint64) digest {
+func epochDigest(region string, e regionEpoch) digest {
 	b := elementBuf{tagEpoch}
 	b.str(region)
-	b.num(epoch)
+	b.num(e.epoch)
+	b.num(e.removal)
 	return sha256.Sum256(b)
 }
 
--- a/statelog/snapshot.go
+++ b/statelog/snapshot.go
@@ -16,7 +16,7 @@
 	// maxStateElements bounds each array of an encoded state.
 	maxStateElements = 1 << 18
 
-	snapshotFormat = 1
+	snapshotFormat = 2 // 2 added the offset of the last removal of a member
 )
 
 // The encoded forms are arrays in place of maps, which halves the size of small elements.
@@ -48,9 +48,10 @@
 }
 
 type encodedEpoch struct {
-	_      struct{} `cbor:",toarray"`
-	Region string
-	Epoch  uint64
+	_       struct{} `cbor:",toarray"`
+	Region  string
+	Epoch   uint64
+	Removal uint64
 }
 
 type encodedRemembered struct {
@@ -86,7 +87,7 @@
 		e.Members = append(e.Members, encodedMember{Member: m.Member, ID: m.id})
 	}
 	for r, n := range s.epochs {
-		e.Epochs = append(e.Epochs, encodedEpoch{Region: r, Epoch: n})
+		e.Epochs = append(e.Epochs, encodedEpoch{Region: r, Epoch: n.epoch, Removal: n.removal})
 	}
 	sort.Slice(e.Epochs, func(i, j int) bool { return e.Epochs[i].Region < e.Epochs[j].Region })
 	for i := uint64(0); i < s.window; i++ {
@@ -189,11 +190,11 @@
 
 func (s *State) restoreEpochs(e *encodedState) error {
 	for _, r := range e.Epochs {
-		if _, ok := s.epochs[r.Region]; ok || r.Epoch == 0 || r.Epoch >= s.next {
+		if _, ok := s.epochs[r.Region]; ok || r.Epoch == 0 || r.Epoch >= s.next || r.Removal > r.Epoch {
 			return fmt.Errorf("region %q: epoch %d is invalid", r.Region, r.Epoch)
 		}
-		s.epochs[r.Region] = r.Epoch
-		s.sum.toggle(epochDigest(r.Region, r.Epoch))
+		s.epochs[r.Region] = regionEpoch{epoch: r.Epoch, removal: r.Removal}
+		s.sum.toggle(epochDigest(r.Region, s.epochs[r.Region]))
 	}
 	return nil
 }
--- a/statelog/state.go
+++ b/statelog/state.go
@@ -27,7 +27,7 @@
 	tables  []*table // by kindIndex, nil for a kind without resources so far
 	shared  []bool   // the table is part of a view and must be copied before a change
 	members []memberItem
-	epochs  map[string]uint64
+	epochs  map[string]regionEpoch
 	// ring holds the record whose identifier was last seen at offset o at position o % window, or nil.
 	ring []*remembered
 	byID map[RecordID]*remembered
@@ -63,7 +63,7 @@
 		window:  window,
 		tables:  make([]*table, n),
 		shared:  make([]bool, n),
-		epochs:  make(map[string]uint64),
+		epochs:  make(map[string]regionEpoch),
 		ring:    make([]*remembered, window),
 		byID:    make(map[RecordID]*remembered),
 		removed: make(map[resource.Key]RecordID),
@@ -178,7 +178,7 @@
 	s.list = nil
 	if ok {
 		s.sum.toggle(old.digest())
-		s.setEpoch(old.Region, out.Offset)
+		s.setEpoch(old.Region, out.Offset, true)
 		s.members = append(s.members[:pos:pos], s.members[pos+1:]...)
 	}
 	if rec.Op == OpLeave {
@@ -189,7 +189,7 @@
 	m.Version = out.Offset
 	s.members = append(s.members[:pos:pos], append([]memberItem{m}, s.members[pos:]...)...)
 	s.sum.toggle(m.digest())
-	s.setEpoch(m.Region, out.Offset)
+	s.setEpoch(m.Region, out.Offset, false)
 	delete(s.removed, key)
 	return resource.Key{}
 }
@@ -199,17 +199,29 @@
 	return pos, pos < len(s.members) && s.members[pos].Node == node
 }
 
+// regionEpoch is the membership epoch of a region, and the offset of the last record that removed a member from it: a
+// leave, or a join that replaced an older incarnation. 0 means that none was ever removed.
+type regionEpoch struct {
+	epoch   uint64
+	removal uint64
+}
+
 // setEpoch replaces the map because views share it.
-func (s *State) setEpoch(region string, epoch uint64) {
-	epochs := make(map[string]uint64, len(s.epochs)+1)
+func (s *State) setEpoch(region string, epoch uint64, removed bool) {
+	epochs := make(map[string]regionEpoch, len(s.epochs)+1)
 	for r, e := range s.epochs {
 		epochs[r] = e
 	}
-	if old, ok := epochs[region]; ok {
-		s.sum.toggle(epochDigest(region, old))
+	e, ok := epochs[region]
+	if ok {
+		s.sum.toggle(epochDigest(region, e))
+	}
+	e.epoch = epoch
+	if removed {
+		e.removal = epoch
 	}
-	epochs[region] = epoch
-	s.sum.toggle(epochDigest(region, epoch))
+	epochs[region] = e
+	s.sum.toggle(epochDigest(region, e))
 	s.epochs = epochs
 }
 
--- a/statelog/view.go
+++ b/statelog/view.go
@@ -12,7 +12,7 @@
 	Next    uint64   // next offset to read; the view covers all records before it
 	Hash    [32]byte // hash of the state; equal on all nodes at the same Next
 	Members []Member // of all regions, sorted by node name
-	epochs  map[string]uint64
+	epochs  map[string]regionEpoch
 	tables  []*table // by kindIndex
 }
 
@@ -68,7 +68,11 @@
 
 // Epoch returns the membership epoch of a region: the offset of its last accepted membership record, 0 when there is
 // none.
-func (v *View) Epoch(region string) uint64 { return v.epochs[region] }
+func (v *View) Epoch(region string) uint64 { return v.epochs[region].epoch }
+
+// Removal returns the offset of the last record that removed a member of a region or replaced its incarnation, 0 when
+// there was none.
+func (v *View) Removal(region string) uint64 { return v.epochs[region].removal }
 
 // Member returns the member with a node name.
 func (v *View) Member(node string) (Member, bool) {
