--- /dev/null
+++ b/follower/schedule_test.go
@@ -0,0 +1,126 @@
+package follower
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+var (
+	scheduleSeed  = flag.Uint64("schedule.seed", 0, "replay the faults of one random schedule")
+	scheduleCount = flag.Uint64("schedule.count", 20, "number of random schedules")
+)
+
+// answer is what Propose told a caller.
+type answer struct {
+	id  statelog.RecordID
+	out statelog.Outcome
+	err error
+}
+
+// Guards against Propose telling a caller anything that the log contradicts, and against followers that differ, when
+// calls fail at random while several callers race. Faults follow the seed; the interleaving of goroutines does not.
+func TestFollowerSchedules(t *testing.T) {
+	first, last := uint64(1), *scheduleCount
+	if *scheduleSeed != 0 {
+		first, last = *scheduleSeed, *scheduleSeed
+	}
+	for seed := first; seed <= last; seed++ {
+		runFollowers(t, seed)
+		if t.Failed() {
+			t.Fatalf("replay: go test ./follower -run TestFollowerSchedules -schedule.seed=%d", seed)
+		}
+	}
+}
+
+// randomFaults returns a hook that fails about half of the calls.
+func randomFaults(rng *rand.Rand) func(string) fault {
+	var mu sync.Mutex
+	return func(string) fault {
+		mu.Lock()
+		defer mu.Unlock()
+		return max(faultNone, fault(rng.IntN(int(faultHang)*2+2))-faultHang-1)
+	}
+}
+
+func runFollowers(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	l := newFakeLog()
+	var fs []*Follower
+	for _, node := range []string{"a", "b", "c"} {
+		cfg := testConfig(node, l)
+		cfg.SnapshotRecords = 10
+		cfg.ReadTimeout, cfg.AppendTimeout = 2*time.Millisecond, 2*time.Millisecond
+		if len(fs) > 0 {
+			cfg.Peers = &peerOf{f: fs[0]}
+		}
+		f, stop := start(t, cfg)
+		defer stop()
+		fs = append(fs, f)
+	}
+	l.set(randomFaults(rand.New(rand.NewPCG(seed, 3))), randomFaults(rand.New(rand.NewPCG(seed, 4))))
+	answers := make(chan answer, 200)
+	var wg sync.WaitGroup
+	for i := range 6 {
+		patience := time.Duration(1+rng.IntN(40)) * time.Millisecond
+		wg.Go(func() { proposer(fs[i%len(fs)], i, patience, answers) })
+	}
+	wg.Wait()
+	close(answers)
+	l.set(always(faultNone), always(faultNone))
+	propose(t, fs[0], putVM("vm-end", "p1", 0))
+	resp, err := l.Read(context.Background(), statelog.StreamConfig, 1, 1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, replay := resp.Next, statelog.New()
+	for _, r := range resp.Records {
+		replay.Apply(r.Offset, r.Data)
+	}
+	for _, f := range fs {
+		eventually(t, "head", func() bool { return f.View().Next >= head })
+		if v := f.View(); v.Next == head && v.Hash != replay.Hash() {
+			t.Errorf("seed %d: state of %s differs from the replay", seed, f.cfg.Node)
+		}
+	}
+	for a := range answers {
+		checkAnswer(t, seed, replay, a)
+	}
+}
+
+// proposer changes one VM several times, each time against the version in its view.
+func proposer(f *Follower, n int, patience time.Duration, answers chan<- answer) {
+	for i := range 5 {
+		c := putVM("vm-1", fmt.Sprint("p", n), 0)
+		c.ID = statelog.RecordID{byte(n + 1), byte(i + 1)}
+		if r := f.View().Get(c.Key); r != nil {
+			c.Base = r.Version
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		out, err := f.Propose(ctx, c)
+		cancel()
+		answers <- answer{id: c.ID, out: out, err: err}
+	}
+}
+
+func checkAnswer(t *testing.T, seed uint64, replay *statelog.State, a answer) {
+	t.Helper()
+	want, stored := replay.Lookup(a.id)
+	var pe *ProposeError
+	switch {
+	case a.err == nil && (!stored || a.out != want):
+		t.Errorf("seed %d: answer %+v, the log says %+v", seed, a.out, want)
+	case a.err != nil && !errors.As(a.err, &pe):
+		t.Errorf("seed %d: error of type %T: %v", seed, a.err, a.err)
+	case pe != nil && !pe.MayTakeEffect && stored:
+		t.Errorf("seed %d: %v, but the log holds it", seed, a.err)
+	}
+}
--- a/logclient/client.go
+++ b/logclient/client.go
@@ -112,16 +112,28 @@
 			resp.Header.Get(platform.EffectHeader) == platform.EffectNone
 		return out, &AppendError{MayTakeEffect: !none, Err: statusError(resp)}
 	}
-	if err := c.decode(resp, &out); err != nil {
-		return platform.AppendResponse{}, &AppendError{MayTakeEffect: true, Err: err}
+	data, err := c.body(resp)
+	if err == nil {
+		out, err = parseAppend(data, len(records))
 	}
-	if out.First == 0 || out.Next < out.First || out.Next-out.First < uint64(len(records)) {
-		err := fmt.Errorf("answer names offsets %d to %d for %d records", out.First, out.Next, len(records))
+	if err != nil {
 		return platform.AppendResponse{}, &AppendError{MayTakeEffect: true, Err: err}
 	}
 	return out, nil
 }
 
+// parseAppend parses the answer to an append of n records.
+func parseAppend(data []byte, n int) (platform.AppendResponse, error) {
+	var out platform.AppendResponse
+	if err := json.Unmarshal(data, &out); err != nil {
+		return out, errors.Wrap(err, "answer of the log service")
+	}
+	if out.First == 0 || out.Next < out.First || out.Next-out.First < uint64(n) {
+		return out, fmt.Errorf("answer names offsets %d to %d for %d records", out.First, out.Next, n)
+	}
+	return out, nil
+}
+
 func encodeAppend(records [][]byte) ([]byte, error) {
 	if len(records) == 0 || len(records) > platform.MaxAppendRecords {
 		return nil, fmt.Errorf("append of %d records, 1 to %d are permitted", len(records), platform.MaxAppendRecords)
@@ -157,36 +169,45 @@
 		return out, err
 	}
 	defer discard(resp)
-	switch resp.StatusCode {
-	case http.StatusOK:
-	case http.StatusGone:
-		if err := c.decode(resp, &out); err != nil {
-			return platform.ReadResponse{}, err
-		}
-		return platform.ReadResponse{}, &GoneError{Oldest: out.Oldest, Next: out.Next}
-	default:
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
 		return out, statusError(resp)
 	}
-	if err := c.decode(resp, &out); err != nil {
-		return platform.ReadResponse{}, err
+	data, err := c.body(resp)
+	if err != nil {
+		return out, err
 	}
-	if err := checkRead(&out, from); err != nil {
-		return platform.ReadResponse{}, err
+	if resp.StatusCode == http.StatusGone {
+		return out, parseGone(data)
 	}
-	return out, nil
+	return parseRead(data, from)
 }
 
-// checkRead rejects an answer with a gap: a reader that skipped records would differ from the others.
-func checkRead(r *platform.ReadResponse, from uint64) error {
-	for i, rec := range r.Records {
+func parseGone(data []byte) error {
+	var out platform.ReadResponse
+	if err := json.Unmarshal(data, &out); err != nil {
+		return errors.Wrap(err, "answer of the log service")
+	}
+	if out.Oldest == 0 || out.Next < out.Oldest {
+		return fmt.Errorf("answer names offsets %d to %d", out.Oldest, out.Next)
+	}
+	return &GoneError{Oldest: out.Oldest, Next: out.Next}
+}
+
+// parseRead rejects an answer with a gap: a reader that skipped records would differ from the others.
+func parseRead(data []byte, from uint64) (platform.ReadResponse, error) {
+	var out platform.ReadResponse
+	if err := json.Unmarshal(data, &out); err != nil {
+		return platform.ReadResponse{}, errors.Wrap(err, "answer of the log service")
+	}
+	for i, rec := range out.Records {
 		if rec.Offset != from+uint64(i) {
-			return fmt.Errorf("answer has offset %d in place of %d", rec.Offset, from+uint64(i))
+			return platform.ReadResponse{}, fmt.Errorf("answer has offset %d in place of %d", rec.Offset, from+uint64(i))
+		}
+		if rec.Offset >= out.Next {
+			return platform.ReadResponse{}, fmt.Errorf("answer has offset %d but names %d as next", rec.Offset, out.Next)
 		}
 	}
-	if n := len(r.Records); n > 0 && r.Next < from+uint64(n) {
-		return fmt.Errorf("answer ends at offset %d but names %d as next", from+uint64(n)-1, r.Next)
-	}
-	return nil
+	return out, nil
 }
 
 func (c *Client) do(req *http.Request) (*http.Response, error) {
@@ -198,15 +219,16 @@
 	return resp, err
 }
 
-func (c *Client) decode(resp *http.Response, v any) error {
+// body reads the whole body of an answer.
+func (c *Client) body(resp *http.Response) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxResponseBytes+1))
 	if err != nil {
-		return errors.Wrap(err, "answer of the log service")
+		return nil, errors.Wrap(err, "answer of the log service")
 	}
 	if int64(len(data)) > c.cfg.MaxResponseBytes {
-		return ErrTooLarge
+		return nil, ErrTooLarge
 	}
-	return errors.Wrap(json.Unmarshal(data, v), "answer of the log service")
+	return data, nil
 }
 
 func statusError(resp *http.Response) error {
--- a/statelog/schedule_test.go
+++ b/statelog/schedule_test.go
@@ -44,10 +44,15 @@
 	recs   []Record // by offset - 1; a damaged record has no identifier
 	outs   []Outcome
 	hashes map[uint64][32]byte // by next offset
-	writes map[string]uint64   // accepted record by key and base version
+	writes map[slot]uint64     // accepted record by key and base version
 	once   map[RecordID]uint64 // accepted record by identifier
 }
 
+type slot struct {
+	key  resource.Key
+	base uint64
+}
+
 func keyOf(r *Record) resource.Key {
 	if r.Member != nil {
 		return resource.Key{Kind: kindMember, Name: r.Member.Node}
@@ -106,10 +111,11 @@
 	if want := m.outs[offset-1]; out != want {
 		return fmt.Errorf("offset %d: outcome %+v, want %+v", offset, out, want)
 	}
-	if h, ok := m.hashes[s.Next()]; ok && h != s.Hash() {
+	hash := s.Hash()
+	if h, ok := m.hashes[s.Next()]; ok && h != hash {
 		return fmt.Errorf("offset %d: hash differs between nodes", offset)
 	}
-	m.hashes[s.Next()] = s.Hash()
+	m.hashes[s.Next()] = hash
 	if out.Status != StatusAccepted {
 		return nil
 	}
@@ -118,11 +124,11 @@
 		return fmt.Errorf("record %s was accepted at %d and at %d", out.ID, o, out.Offset)
 	}
 	m.once[out.ID] = out.Offset
-	slot := fmt.Sprint(keyOf(rec), rec.Base)
-	if o, ok := m.writes[slot]; ok && o != out.Offset && rec.Base != 0 {
-		return fmt.Errorf("records at %d and %d were both accepted against %s", o, out.Offset, slot)
+	to := slot{keyOf(rec), rec.Base}
+	if o, ok := m.writes[to]; ok && o != out.Offset && rec.Base != 0 {
+		return fmt.Errorf("records at %d and %d were both accepted against %v", o, out.Offset, to)
 	}
-	m.writes[slot] = out.Offset
+	m.writes[to] = out.Offset
 	return nil
 }
 
@@ -158,7 +164,7 @@
 
 func runSchedule(seed uint64) error {
 	m := &sim{Rand: rand.New(rand.NewPCG(seed, 1)), oldest: 1, model: model{
-		hashes: map[uint64][32]byte{}, writes: map[string]uint64{}, once: map[RecordID]uint64{}}}
+		hashes: map[uint64][32]byte{}, writes: map[slot]uint64{}, once: map[RecordID]uint64{}}}
 	for i := range 3 {
 		m.nodes = append(m.nodes, &simNode{name: fmt.Sprint("n", i), state: newState(simWindow), view: &View{},
 			seen: map[resource.Key]uint64{}})
