--- a/follower/config.go
+++ b/follower/config.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/resource"
 )
 
 // Log is the log service. *logclient.Client implements it.
@@ -90,8 +91,8 @@
 	if c.Log == nil {
 		return errors.New("follower: no log client is configured")
 	}
-	if c.Node == "" {
-		return errors.New("follower: no node name is configured")
+	if err := (resource.Key{Kind: resource.KindVM, Name: c.Node}).Validate(); err != nil {
+		return errors.Wrap(err, "follower: node name") // it must pass as the writer of snapshots
 	}
 	if c.Logger == nil {
 		c.Logger = logrus.StandardLogger()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		failures++
-		if f.recover(ctx, err) {
+		if f.readFailed(ctx, err) {
 			continue
 		}
 		delay := doubled(f.cfg.RetryMin, failures-1, f.cfg.RetryMax)
@@ -191,8 +191,8 @@
 	return len(resp.Records), nil
 }
 
-// recover acts on a failed read and reports whether the state advanced past lost records.
-func (f *Follower) recover(ctx context.Context, cause error) bool {
+// readFailed acts on a failed read and reports whether the state advanced past lost records.
+func (f *Follower) readFailed(ctx context.Context, cause error) bool {
 	var gone *logclient.GoneError
 	if !errors.As(cause, &gone) {
 		f.logDown(cause)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -128,3 +128,27 @@
 		}
 	}
 }
+
+// Guards against "not accepted" for a caller that leaves while another one still tries the same record.
+func TestOneOfTwoCallersLeaves(t *testing.T) {
+	l := newFakeLog()
+	f, _ := start(t, testConfig("a", l))
+	<-f.Loaded()
+	l.set(always(faultRefused), always(faultNone))
+	c := putVM("vm-1", "p1", 0)
+	c.ID = statelog.RecordID{1}
+	outs := make(chan statelog.Outcome, 1)
+	go func() { outs <- propose(t, f, c) }()
+	eventually(t, "first caller", func() bool { return f.Status().Pending == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_, err := f.Propose(ctx, c)
+	var pe *ProposeError
+	if !errors.As(err, &pe) || !pe.MayTakeEffect {
+		t.Errorf("error %v", err)
+	}
+	l.set(always(faultNone), always(faultNone))
+	if out := <-outs; out.Status != statelog.StatusAccepted {
+		t.Errorf("outcome %+v", out)
+	}
+}
--- a/follower/recover_test.go
+++ b/follower/recover_test.go
@@ -132,7 +132,9 @@
 	eventually(t, "no earlier read is left", hung.Load)
 	errc := make(chan error, 1)
 	go func() {
-		_, err := f.Propose(context.Background(), putVM("vm-1", "p1", 0))
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := f.Propose(ctx, putVM("vm-1", "p1", 0))
 		errc <- err
 	}()
 	eventually(t, "append", func() bool { return l.next(statelog.StreamConfig) > 1 })
