Ask for no slots while draining, and let requests for slots expire

Change: a draining holder asks for no slots and its waiting requests end with ErrDraining; a request at the home node ends 1 s after its last repetition.

Result: go test -race ./coord passes.

--- a/coord/acquire.go
+++ b/coord/acquire.go
@@ -42,6 +42,9 @@
 	}
 	select {
 	case vm := <-assigned:
+		if vm == "" {
+			return "", ErrDraining
+		}
 		return vm, nil
 	case <-ctx.Done():
 	}
@@ -56,8 +59,10 @@
 			delete(c.waiters, id)
 			return
 		}
-		// step sends assignments under the lock, so this one is already in the channel.
-		c.slots.Return(<-assigned, 0, now)
+		// Assignments are sent under the lock, so this one is already in the channel.
+		if vm := <-assigned; vm != "" {
+			c.slots.Return(vm, 0, now)
+		}
 	})
 }
 
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -62,7 +62,7 @@
 	Allow     []netip.Prefix
 	// Addresses are peers to try before the members are known.
 	Addresses []string
-	Store follower.Store
+	Store     follower.Store
 	// Ready is closed when Store has caught up with the log or with a peer. Until then Run only keeps links, so that the
 	// follower can ask peers. nil means that it has caught up.
 	Ready <-chan struct{}
--- a/coord/leave.go
+++ b/coord/leave.go
@@ -14,6 +14,12 @@
 	c.step(func(now time.Time) {
 		c.draining = true
 		c.slots.Drain(now)
+		for id, assigned := range c.waiters {
+			if c.slots.Cancel(id, now) {
+				delete(c.waiters, id)
+				assigned <- ""
+			}
+		}
 	})
 	if !graceful {
 		return
--- a/coord/records.go
+++ b/coord/records.go
@@ -55,7 +55,7 @@
 type recordsReply struct {
 	Records []wireRecord `cbor:"1,keyasint,omitempty"`
 	// Gone states that the records, or the state that was asked for, are no longer kept.
-	Gone  bool   `cbor:"2,keyasint,omitempty"`
+	Gone bool `cbor:"2,keyasint,omitempty"`
 	// Next and Hash name the state that the chunk belongs to or, with records, the serving node's state.
 	Next  uint64   `cbor:"3,keyasint,omitempty"`
 	Total uint64   `cbor:"4,keyasint,omitempty"`
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -201,9 +201,17 @@
 	}
 }
 
+// wanted returns the slots of a worker to ask for; none while draining, since a grant would go back at once.
+func (h *holder) wanted(w *holding) int {
+	if h.draining {
+		return 0
+	}
+	return min(w.asked, maxWant)
+}
+
 // mark notes that the wants for a worker changed. They are sent once at the end of the step.
 func (h *holder) mark(name string, w *holding) {
-	if !w.dirty && min(w.asked, maxWant) != w.sentWant {
+	if !w.dirty && h.wanted(w) != w.sentWant {
 		w.dirty = true
 		h.changed = append(h.changed, name)
 	}
@@ -217,7 +225,7 @@
 			continue
 		}
 		w.dirty = false
-		if min(w.asked, maxWant) != w.sentWant {
+		if h.wanted(w) != w.sentWant {
 			h.sendWant(name, w, now)
 		}
 	}
@@ -229,7 +237,7 @@
 		return
 	}
 	h.order++
-	w.sentWant = min(w.asked, maxWant)
+	w.sentWant = h.wanted(w)
 	w.sentAt = now
 	h.send(h.set.Home(name), Message{Kind: KindAcquire, Worker: name, Count: w.sentWant, Order: h.order})
 }
--- a/slots/home.go
+++ b/slots/home.go
@@ -33,6 +33,7 @@
 type want struct {
 	node  string
 	count int
+	heard time.Time // of the last request
 }
 
 // homed is a worker at its home node.
@@ -344,19 +345,20 @@
 			count--
 		}
 	}
-	w.setWant(from, count)
+	w.setWant(from, count, now)
 	h.grant(m.Worker, w, now)
 }
 
-func (w *homed) setWant(node string, count int) {
+func (w *homed) setWant(node string, count int, now time.Time) {
 	i := slices.IndexFunc(w.wants, func(x want) bool { return x.node == node })
 	switch {
 	case count <= 0 && i >= 0:
 		w.wants = slices.Delete(w.wants, i, i+1)
 	case count > 0 && i >= 0:
 		w.wants[i].count = count
+		w.wants[i].heard = now
 	case count > 0:
-		w.wants = append(w.wants, want{node, count})
+		w.wants = append(w.wants, want{node, count, now})
 	}
 }
 
@@ -412,6 +414,7 @@
 // tick ends quarantines, repeats unacknowledged grants and recalls, and forgets workers with nothing to remember.
 func (h *home) tick(now time.Time) {
 	for name, w := range h.workers {
+		w.wants = slices.DeleteFunc(w.wants, func(x want) bool { return now.Sub(x.heard) >= wantTime })
 		busy := len(w.wants) > 0 || !w.ready
 		for i := range w.slots {
 			s := &w.slots[i]
--- a/slots/message.go
+++ b/slots/message.go
@@ -15,6 +15,9 @@
 	// ResendInterval is the time after which an unacknowledged message is sent again. It is several round trips, also
 	// between the zones of a region, and short against the time of a request.
 	ResendInterval = 200 * time.Millisecond
+	// wantTime is how long a request for slots counts at the home node. The holder repeats it each ResendInterval while
+	// it waits, and the message that ends it may be lost.
+	wantTime = time.Second
 	// recallInterval bounds the recalls of one worker, since each is sent to all its holders.
 	recallInterval = 20 * time.Millisecond
 	// recallTime is how long a recall counts at a holder. The home node repeats it while others wait.
--- a/slots/tick.go
+++ b/slots/tick.go
@@ -18,7 +18,7 @@
 		}
 	}
 	for name, w := range h.workers {
-		if w.asked > 0 && now.Sub(w.sentAt) >= ResendInterval {
+		if h.wanted(w) > 0 && now.Sub(w.sentAt) >= ResendInterval {
 			h.sendWant(name, w, now)
 		}
 	}
@@ -46,6 +46,7 @@
 func (h *holder) drain(now time.Time) {
 	h.draining = true
 	for name, w := range h.workers {
+		h.mark(name, w)
 		for i := range w.slots {
 			s := &w.slots[i]
 			switch s.state {
