--- a/coord/claims.go
+++ b/coord/claims.go
@@ -152,7 +152,7 @@
 	}
 	now := time.Now()
 	hash := r.Key.Hash()
-	cov := claims.Coverage{Settled: c.history.Settled(hash)}
+	cov := claims.Coverage{Settled: c.history.Settled(hash), Shrunk: c.history.Shrunk()}
 	cov.HomeSince, cov.Known = c.history.HomeSince(hash)
 	return c.table.Claim(r, cov, now)
 }
--- /dev/null
+++ b/coord/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package coord
+
+const raceEnabled = false
--- a/membership/history.go
+++ b/membership/history.go
@@ -175,10 +175,12 @@
 }
 
 // HomeSince returns since when this incarnation has been a home of a key without interruption, with every member known
-// to be at or beyond an epoch that says so. ok is false when it is no home, or not yet known by all members.
+// to be at or beyond an epoch that says so. ok is false when it is no home, or not yet known by all members. For the only
+// member it is the time since which it is alone: before, a claim may have been registered with the other home only.
 func (h *History) HomeSince(keyHash uint64) (since time.Time, ok bool) {
+	alone := len(h.epochs) > 0 && len(h.Current().Members) == 1
 	for i := len(h.epochs) - 1; i >= 0; i-- {
-		if !h.isHome(i, keyHash) {
+		if !h.isHome(i, keyHash) || (alone && len(h.epochs[i].set.Members) > 1) {
 			break
 		}
 		if !h.epochs[i].coveredAt.IsZero() {
@@ -191,6 +193,20 @@
 	return since, ok
 }
 
+// Shrunk tells whether this node is the only member now and was not always. A later attempt may then have been granted
+// with the help of homes that left.
+func (h *History) Shrunk() bool {
+	if s := h.Current(); s == nil || len(s.Members) != 1 {
+		return false
+	}
+	for i := range h.epochs {
+		if len(h.epochs[i].set.Members) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Settled tells whether no pair of homes of an earlier epoch can still grant the key. Members that lag behind could
 // otherwise grant a later attempt among themselves while this node grants the first attempt at the newest epoch. A pair
 // cannot grant when one of the two is known to have left its epoch or is no longer a member.
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -90,7 +90,8 @@
 func (h *holder) setEpoch(set *membership.Set) {
 	h.set = set
 	clear(h.reports)
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if set == nil {
 			w.reset()
 		}
@@ -133,7 +134,8 @@
 // holdings returns the entries of the report to a home node.
 func (h *holder) holdings(to string, now time.Time) []Holding {
 	var report []Holding
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if h.set.Home(name) != to {
 			continue
 		}
--- a/slots/home.go
+++ b/slots/home.go
@@ -129,7 +129,8 @@
 	h.reports = make(map[string][]reportedSlot)
 	h.bounded = false
 	h.bound = time.Time{}
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		w.wants = nil
 		w.orders = nil
 		if ready, _ := h.chained(name, len(h.epochs)-1); ready && w.ready {
@@ -317,10 +318,11 @@
 	if h.bounded && h.aware.After(now) {
 		h.aware = now
 	}
-	for name := range h.reports {
+	for _, name := range sortedKeys(h.reports) {
 		h.worker(name, now)
 	}
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if !w.ready {
 			h.prepare(name, w, now)
 		}
@@ -413,7 +415,8 @@
 
 // tick ends quarantines, repeats unacknowledged grants and recalls, and forgets workers with nothing to remember.
 func (h *home) tick(now time.Time) {
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		w.wants = slices.DeleteFunc(w.wants, func(x want) bool { return now.Sub(x.heard) >= wantTime })
 		busy := len(w.wants) > 0 || !w.ready
 		for i := range w.slots {
--- a/slots/node.go
+++ b/slots/node.go
@@ -1,6 +1,9 @@
 package slots
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/berylwharf/berylwharf/membership"
@@ -215,7 +218,8 @@
 		return
 	}
 	removal, aware := n.home.removalBound(now)
-	for to, sent := range n.holder.reports {
+	for _, to := range sortedKeys(n.holder.reports) {
+		sent := n.holder.reports[to]
 		if now.Sub(sent) < ResendInterval {
 			continue
 		}
@@ -224,3 +228,8 @@
 		n.send(to, Message{Kind: KindReport, Holdings: report, Removal: removal, Aware: aware})
 	}
 }
+
+// sortedKeys gives a fixed order to decisions and messages, so that a schedule can be replayed.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/slots/tick.go
+++ b/slots/tick.go
@@ -4,7 +4,8 @@
 
 // tick ends quarantines and idle times, repeats messages that were not acknowledged, and widens waiting requests.
 func (h *holder) tick(now time.Time) {
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		for i := range w.slots {
 			h.tickSlot(name, w, i, now)
 		}
@@ -12,12 +13,14 @@
 	if h.set == nil {
 		return
 	}
-	for _, x := range h.waiters {
+	for _, id := range sortedKeys(h.waiters) {
+		x := h.waiters[id]
 		if x.asked < len(x.candidates) && now.Sub(x.askedAt) >= askMoreAfter {
 			h.ask(x, now)
 		}
 	}
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if h.wanted(w) > 0 && now.Sub(w.sentAt) >= ResendInterval {
 			h.sendWant(name, w, now)
 		}
@@ -45,7 +48,8 @@
 // drain returns all slots that are not in use, quarantined ones included, and makes later returns go back at once.
 func (h *holder) drain(now time.Time) {
 	h.draining = true
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		h.mark(name, w)
 		for i := range w.slots {
 			s := &w.slots[i]
