Refuse a first attempt whose key other homes may have granted

Change: a home that cannot vouch for a key does not grant it while earlier homes, none of which is a home now, may have granted it since it was made. A process that ever joined ends when a greater incarnation appears.

--- a/claims/table.go
+++ b/claims/table.go
@@ -69,9 +69,9 @@
 	Known     bool
 	// Settled is false while homes of an earlier epoch may still grant the key.
 	Settled bool
-	// Shrunk states that this node is the only home and was not always, so that nobody else can tell whether a later
-	// attempt overtook the first.
-	Shrunk bool
+	// Replaced states that other nodes, none of which is a home now, may have granted the key since it was made. A later
+	// attempt may then have overtaken the first one unknown to the homes of now.
+	Replaced bool
 }
 
 // Covers tells whether every attempt under the key since it was made would be in this node's table. That holds for a
@@ -175,7 +175,7 @@
 	if !r.First && !covered {
 		return Reply{Status: StatusNotCovered}
 	}
-	if _, timed := r.Key.Time(); timed && cov.Shrunk && !covered {
+	if cov.Replaced && !covered {
 		return Reply{Status: StatusUnsettled}
 	}
 	if len(t.claims) >= t.maxClaims {
--- a/coord/claims.go
+++ b/coord/claims.go
@@ -151,10 +151,19 @@
 		return reply
 	}
 	now := time.Now()
-	hash := r.Key.Hash()
-	cov := claims.Coverage{Settled: c.history.Settled(hash), Shrunk: c.history.Shrunk()}
-	cov.HomeSince, cov.Known = c.history.HomeSince(hash)
-	return c.table.Claim(r, cov, now)
+	return c.table.Claim(r, coverage(c.history, r.Key), now)
+}
+
+// coverage returns what a node knows about its duty as a home of a key.
+func coverage(h *membership.History, k claims.Key) claims.Coverage {
+	hash := k.Hash()
+	cov := claims.Coverage{Settled: h.Settled(hash)}
+	cov.HomeSince, cov.Known = h.HomeSince(hash)
+	// A later attempt under a key without a time is never granted, so that none can have overtaken the first.
+	if t, ok := k.Time(); ok {
+		cov.Replaced = h.Replaced(hash, t.Add(-claims.ClockSkew))
+	}
+	return cov
 }
 
 func (c *Coord) serveClaim(_ context.Context, from string, body peer.Body) (any, error) {
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -101,6 +101,7 @@
 	draining    bool
 	released    bool
 	joinTried   bool
+	joined      bool // a join of this process was accepted
 	list        vmList
 
 	deliveries chan struct{} // bounds the claim outcomes being delivered
--- /dev/null
+++ b/coord/failure_test.go
@@ -0,0 +1,253 @@
+package coord
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/berylwharf/berylwharf/claims"
+	"github.com/berylwharf/berylwharf/follower"
+	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+// cutStore is a store whose node cannot reach the log any more, as one that is killed.
+type cutStore struct {
+	*fakeLog
+	cut atomic.Bool
+}
+
+func (s *cutStore) Propose(ctx context.Context, c follower.Change) (statelog.Outcome, error) {
+	if s.cut.Load() {
+		return statelog.Outcome{}, &follower.ProposeError{ID: c.ID, Cause: errors.New("cut off")}
+	}
+	return s.fakeLog.Propose(ctx, c)
+}
+
+func vms(nodes ...string) []platform.VM {
+	var list []platform.VM
+	for _, n := range nodes {
+		list = append(list, platform.VM{Name: "vm-" + n, Role: platform.RoleEntry, Node: n})
+	}
+	return append(list, platform.VM{Name: "w1", Role: platform.RoleWorker})
+}
+
+// TestNodeLeaves guards against slots that stay out of use after a graceful shutdown, and against a member that stays.
+func TestNodeLeaves(t *testing.T) {
+	_, nodes := startThree(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	workers := []string{"w1", "w2", "w3", "w4", "w5", "w6"}
+	vm, err := nodes[2].Acquire(ctx, workers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes[2].Return(vm, 0)
+	nodes[2].shutdown(t)
+	if _, err := nodes[2].Acquire(ctx, workers); !errors.Is(err, ErrDraining) {
+		t.Errorf("after the shutdown: %v", err)
+	}
+	settled(t, nodes[:2])
+	for _, w := range workers {
+		for range 8 {
+			if _, err := nodes[0].Acquire(ctx, []string{w}); err != nil {
+				t.Fatal(w, err)
+			}
+		}
+	}
+	if q := nodes[0].Status().Quarantined + nodes[1].Status().Quarantined; q != 0 {
+		t.Errorf("%d slots in quarantine", q)
+	}
+}
+
+// TestNodeKilled guards against a killed member that blocks the others for ever, against its removal by fewer than three
+// lists, by lists without the own VM, or while it is alive, and against claims that need the killed home node.
+func TestNodeKilled(t *testing.T) {
+	log, nodes := startThree(t)
+	store := &cutStore{fakeLog: log}
+	d := start(t, log, "d", func(c *Config) { c.Store = store })
+	all := append(slices.Clone(nodes), d)
+	settled(t, all)
+	for range 2 * absentUnseen {
+		nodes[0].SetVMList(vms("a", "b", "c", "d"))
+		nodes[0].SetVMList(vms("a", "b", "c"))
+	}
+	if n := len(log.View().Members); n != 4 {
+		t.Fatalf("%d members while all are alive", n)
+	}
+	fp := claims.Fingerprint{}
+	granted := 0
+	eventually(t, "keys are covered at their home nodes", func() bool {
+		k := key(t)
+		if d.Begin(context.Background(), k, fp, false).Result == claims.ResultGranted {
+			granted++
+			d.Finish(k, claims.PhaseNotRun, nil)
+		} else {
+			granted = 0
+		}
+		return granted == 50
+	})
+	store.cut.Store(true)
+	d.shutdown(t)
+	for range 30 {
+		k := key(t)
+		if got := nodes[0].Begin(context.Background(), k, fp, true); got.Result != claims.ResultGranted {
+			t.Errorf("first attempt with a dead home node: result %d", got.Result)
+		}
+		nodes[0].Finish(k, claims.PhaseDone, nil)
+	}
+	eventually(t, "the killed node is silent", func() bool {
+		nodes[0].mu.Lock()
+		defer nodes[0].mu.Unlock()
+		return len(nodes[0].history.Silent(silentAfter, time.Now())) == 1
+	})
+	for range 100 {
+		nodes[0].SetVMList(vms("b", "c"))
+	}
+	for _, n := range nodes {
+		n.SetVMList(vms("a", "b", "c"))
+		n.SetVMList(vms("a", "b", "c"))
+	}
+	if n := len(log.View().Members); n != 4 {
+		t.Fatalf("%d members after two lists", n)
+	}
+	eventually(t, "the killed node is removed", func() bool {
+		nodes[0].SetVMList(vms("a", "b", "c"))
+		return len(log.View().Members) == 3
+	})
+	settled(t, nodes)
+}
+
+// TestReplaced guards against two processes under one name: the older one must end.
+func TestReplaced(t *testing.T) {
+	log := newFakeLog()
+	old := start(t, log, "a", nil)
+	eventually(t, "the first joins", old.Member)
+	young := start(t, log, "a", func(c *Config) { c.Incarnation = old.incarnation + 1 })
+	if err := <-old.done; !errors.Is(err, ErrReplaced) {
+		t.Errorf("run: %v", err)
+	}
+	old.done <- nil
+	eventually(t, "the second is a member", young.Member)
+}
+
+// TestRemovedJoinsAgain guards against a node that goes on as the member that the others removed.
+func TestRemovedJoinsAgain(t *testing.T) {
+	log, nodes := startThree(t)
+	before := nodes[0].Status().Incarnation
+	m := findMember(log.View(), "a")
+	if _, err := log.Propose(context.Background(), follower.Change{Op: statelog.OpLeave, Base: m.Version, Member: m}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "it joins with a greater incarnation", func() bool {
+		m := findMember(log.View(), "a")
+		return m != nil && m.Incarnation > before
+	})
+	settled(t, nodes)
+}
+
+// TestWrongKey guards against a node without the shared key that gets slots or claims.
+func TestWrongKey(t *testing.T) {
+	log, nodes := startThree(t)
+	x := start(t, log, "x", func(c *Config) { c.Key = "another key of 16" })
+	eventually(t, "x is a member", x.Member)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, w := range []string{"w1", "w2", "w3", "w4", "w5"} {
+		if vm, err := x.Acquire(ctx, []string{w}); err == nil {
+			t.Errorf("got a slot of %s", vm)
+		}
+	}
+	if n := x.net.Connected(); len(n) != 0 {
+		t.Errorf("links to %v", n)
+	}
+	if n := nodes[0].net.Connected(); slices.Contains(n, "x") {
+		t.Errorf("links to %v", n)
+	}
+}
+
+// fakeRecords has the records from an offset on, and a state larger than a frame.
+type fakeRecords struct {
+	from  uint64
+	n     int
+	state []byte
+}
+
+func (r *fakeRecords) RecordsFrom(offset uint64) ([]platform.LogRecord, bool) {
+	if offset < r.from {
+		return nil, false
+	}
+	var records []platform.LogRecord
+	for i := offset; i < r.from+uint64(r.n); i++ {
+		records = append(records, platform.LogRecord{Offset: i, Data: bytes.Repeat([]byte{byte(i)}, 60<<10)})
+	}
+	return records, true
+}
+
+func (r *fakeRecords) FullState() ([]byte, uint64, [32]byte, error) {
+	return r.state, 77, [32]byte{7}, nil
+}
+
+// TestRecords guards against a follower that cannot catch up from a peer: with records that exceed a frame, or with a
+// full state in parts.
+func TestRecords(t *testing.T) {
+	log := newFakeLog()
+	log.view.Next = 50
+	src := &fakeRecords{from: 10, n: 40, state: bytes.Repeat([]byte("state"), 300<<10)}
+	a := start(t, log, "a", func(c *Config) { c.Records = src })
+	var peers PeerSource
+	if _, err := peers.Fetch(context.Background(), 1); !errors.Is(err, ErrNoPeer) {
+		t.Errorf("before the start: %v", err)
+	}
+	ready := make(chan struct{})
+	start(t, log, "b", func(c *Config) {
+		c.Peers = &peers
+		c.Ready = ready
+		c.Addresses = []string{a.net.Addr().String()}
+	})
+	var got PeerAnswer
+	eventually(t, "records arrive before the node is ready", func() (ok bool) {
+		var err error
+		got, err = peers.Fetch(context.Background(), 20)
+		return err == nil
+	})
+	if n := len(got.Records); n == 0 || n >= 30 || got.Records[0].Offset != 20 || len(got.State) != 0 {
+		t.Errorf("%d records, %d bytes of state", n, len(got.State))
+	}
+	got, err := peers.Fetch(context.Background(), 1)
+	if err != nil || !bytes.Equal(got.State, src.state) || got.Next != 77 || got.Hash != [32]byte{7} {
+		t.Errorf("state of %d bytes at %d: %v", len(got.State), got.Next, err)
+	}
+	if got, err := peers.Fetch(context.Background(), 1000); err != nil || len(got.Records)+len(got.State) != 0 {
+		t.Errorf("a peer that is behind: %d records, %d bytes of state, %v", len(got.Records), len(got.State), err)
+	}
+}
+
+// TestReleaseWaiting guards against a VM that moves to another pool while a node still has requests on it.
+func TestReleaseWaiting(t *testing.T) {
+	log := newFakeLog()
+	var busy atomic.Bool
+	busy.Store(true)
+	a := start(t, log, "a", nil)
+	eventually(t, "a joins", a.Member)
+	b := start(t, log, "b", func(c *Config) {
+		c.InFlight = func() []string {
+			if busy.Load() {
+				return []string{"w1"}
+			}
+			return nil
+		}
+	})
+	settled(t, []*testNode{a, b})
+	offset := log.View().Next - 1
+	eventually(t, "only b is waited for", func() bool { return slices.Equal(a.ReleaseWaiting("w1", offset), []string{"b"}) })
+	if w := a.ReleaseWaiting("w2", offset+1); len(w) != 2 {
+		t.Errorf("a record that nobody applied: waiting for %v", w)
+	}
+	busy.Store(false)
+	eventually(t, "nobody is waited for", func() bool { return len(a.ReleaseWaiting("w1", offset)) == 0 })
+}
--- a/coord/member.go
+++ b/coord/member.go
@@ -167,7 +167,7 @@
 	if m == nil {
 		return false, nil
 	}
-	if m.Incarnation > c.incarnation && c.history.Member() {
+	if m.Incarnation > c.incarnation && c.joined {
 		return false, ErrReplaced
 	}
 	return m.Incarnation == c.incarnation, nil
@@ -193,6 +193,9 @@
 	if out.Status != statelog.StatusAccepted {
 		return errors.Errorf("the record is %s", out.Status)
 	}
+	c.mu.Lock()
+	c.joined = true
+	c.mu.Unlock()
 	c.log.Infof("coord: joined at offset %d", out.Offset)
 	// The view with this membership may follow after the outcome.
 	for ctx.Err() == nil {
--- a/coord/simclaims_test.go
+++ b/coord/simclaims_test.go
@@ -125,8 +125,7 @@
 	if set == nil || !p.history.Member() || !set.Has(from.name, from.inc) || set.Epoch != r.Epoch {
 		return claims.Reply{Status: claims.StatusStale}
 	}
-	cov := claims.Coverage{Settled: p.history.Settled(r.Key.Hash()), Shrunk: p.history.Shrunk()}
-	cov.HomeSince, cov.Known = p.history.HomeSince(r.Key.Hash())
+	cov := coverage(p.history, r.Key)
 	reply := p.table.Claim(r, cov, s.now)
 	for _, k := range s.keys {
 		if k.key == r.Key {
--- a/membership/history.go
+++ b/membership/history.go
@@ -193,20 +193,35 @@
 	return since, ok
 }
 
-// Shrunk tells whether this node is the only member now and was not always. A later attempt may then have been granted
-// with the help of homes that left.
-func (h *History) Shrunk() bool {
-	if s := h.Current(); s == nil || len(s.Members) != 1 {
-		return false
-	}
-	for i := range h.epochs {
-		if len(h.epochs[i].set.Members) > 1 {
+// Replaced tells whether homes of an earlier epoch may have granted a key since it was made, none of which is a home now.
+// made is the earliest time at which the key can have been used. The homes of now then do not know of that grant.
+func (h *History) Replaced(keyHash uint64, made time.Time) bool {
+	n := len(h.epochs) - 1
+	for i := n - 1; i >= 0; i-- {
+		next := &h.epochs[i+1]
+		if !next.coveredAt.IsZero() && !next.coveredAt.After(made) {
+			return false
+		}
+		if next.gap || !h.shared(h.epochs[i].set, keyHash) {
 			return true
 		}
 	}
 	return false
 }
 
+// shared tells whether a home of a key at an earlier set is a home at the newest one, in the same incarnation.
+func (h *History) shared(s *Set, keyHash uint64) bool {
+	cur := h.Current()
+	first, second := cur.KeyHomes(keyHash)
+	old1, old2 := s.KeyHomes(keyHash)
+	for _, node := range []string{old1, old2} {
+		if m, ok := s.Find(node); ok && (node == first || node == second) && cur.Has(node, m.Incarnation) {
+			return true
+		}
+	}
+	return old1 == ""
+}
+
 // Settled tells whether no pair of homes of an earlier epoch can still grant the key. Members that lag behind could
 // otherwise grant a later attempt among themselves while this node grants the first attempt at the newest epoch. A pair
 // cannot grant when one of the two is known to have left its epoch or is no longer a member.
