--- a/claims/table.go
+++ b/claims/table.go
@@ -69,6 +69,9 @@
 	Known     bool
 	// Settled is false while homes of an earlier epoch may still grant the key.
 	Settled bool
+	// Replaced states that other nodes, none of which is a home now, may have granted the key since it was made. A later
+	// attempt may then have overtaken the first one unknown to the homes of now.
+	Replaced bool
 }
 
 // Covers tells whether every attempt under the key since it was made would be in this node's table. That holds for a
@@ -172,6 +175,9 @@
 	if !r.First && !covered {
 		return Reply{Status: StatusNotCovered}
 	}
+	if cov.Replaced && !covered {
+		return Reply{Status: StatusUnsettled}
+	}
 	if len(t.claims) >= t.maxClaims {
 		return Reply{Status: StatusFull}
 	}
--- a/membership/history.go
+++ b/membership/history.go
@@ -175,10 +175,12 @@
 }
 
 // HomeSince returns since when this incarnation has been a home of a key without interruption, with every member known
-// to be at or beyond an epoch that says so. ok is false when it is no home, or not yet known by all members.
+// to be at or beyond an epoch that says so. ok is false when it is no home, or not yet known by all members. For the only
+// member it is the time since which it is alone: before, a claim may have been registered with the other home only.
 func (h *History) HomeSince(keyHash uint64) (since time.Time, ok bool) {
+	alone := len(h.epochs) > 0 && len(h.Current().Members) == 1
 	for i := len(h.epochs) - 1; i >= 0; i-- {
-		if !h.isHome(i, keyHash) {
+		if !h.isHome(i, keyHash) || (alone && len(h.epochs[i].set.Members) > 1) {
 			break
 		}
 		if !h.epochs[i].coveredAt.IsZero() {
@@ -191,6 +193,35 @@
 	return since, ok
 }
 
+// Replaced tells whether homes of an earlier epoch may have granted a key since it was made, none of which is a home now.
+// made is the earliest time at which the key can have been used. The homes of now then do not know of that grant.
+func (h *History) Replaced(keyHash uint64, made time.Time) bool {
+	n := len(h.epochs) - 1
+	for i := n - 1; i >= 0; i-- {
+		next := &h.epochs[i+1]
+		if !next.coveredAt.IsZero() && !next.coveredAt.After(made) {
+			return false
+		}
+		if next.gap || !h.shared(h.epochs[i].set, keyHash) {
+			return true
+		}
+	}
+	return false
+}
+
+// shared tells whether a home of a key at an earlier set is a home at the newest one, in the same incarnation.
+func (h *History) shared(s *Set, keyHash uint64) bool {
+	cur := h.Current()
+	first, second := cur.KeyHomes(keyHash)
+	old1, old2 := s.KeyHomes(keyHash)
+	for _, node := range []string{old1, old2} {
+		if m, ok := s.Find(node); ok && (node == first || node == second) && cur.Has(node, m.Incarnation) {
+			return true
+		}
+	}
+	return old1 == ""
+}
+
 // Settled tells whether no pair of homes of an earlier epoch can still grant the key. Members that lag behind could
 // otherwise grant a later attempt among themselves while this node grants the first attempt at the newest epoch. A pair
 // cannot grant when one of the two is known to have left its epoch or is no longer a member.
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -90,7 +90,8 @@
 func (h *holder) setEpoch(set *membership.Set) {
 	h.set = set
 	clear(h.reports)
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if set == nil {
 			w.reset()
 		}
@@ -133,7 +134,8 @@
 // holdings returns the entries of the report to a home node.
 func (h *holder) holdings(to string, now time.Time) []Holding {
 	var report []Holding
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if h.set.Home(name) != to {
 			continue
 		}
@@ -201,9 +203,17 @@
 	}
 }
 
+// wanted returns the slots of a worker to ask for; none while draining, since a grant would go back at once.
+func (h *holder) wanted(w *holding) int {
+	if h.draining {
+		return 0
+	}
+	return min(w.asked, maxWant)
+}
+
 // mark notes that the wants for a worker changed. They are sent once at the end of the step.
 func (h *holder) mark(name string, w *holding) {
-	if !w.dirty && min(w.asked, maxWant) != w.sentWant {
+	if !w.dirty && h.wanted(w) != w.sentWant {
 		w.dirty = true
 		h.changed = append(h.changed, name)
 	}
@@ -217,7 +227,7 @@
 			continue
 		}
 		w.dirty = false
-		if min(w.asked, maxWant) != w.sentWant {
+		if h.wanted(w) != w.sentWant {
 			h.sendWant(name, w, now)
 		}
 	}
@@ -229,7 +239,7 @@
 		return
 	}
 	h.order++
-	w.sentWant = min(w.asked, maxWant)
+	w.sentWant = h.wanted(w)
 	w.sentAt = now
 	h.send(h.set.Home(name), Message{Kind: KindAcquire, Worker: name, Count: w.sentWant, Order: h.order})
 }
--- a/slots/home.go
+++ b/slots/home.go
@@ -33,6 +33,7 @@
 type want struct {
 	node  string
 	count int
+	heard time.Time // of the last request
 }
 
 // homed is a worker at its home node.
@@ -128,7 +129,8 @@
 	h.reports = make(map[string][]reportedSlot)
 	h.bounded = false
 	h.bound = time.Time{}
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		w.wants = nil
 		w.orders = nil
 		if ready, _ := h.chained(name, len(h.epochs)-1); ready && w.ready {
@@ -316,10 +318,11 @@
 	if h.bounded && h.aware.After(now) {
 		h.aware = now
 	}
-	for name := range h.reports {
+	for _, name := range sortedKeys(h.reports) {
 		h.worker(name, now)
 	}
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
 		if !w.ready {
 			h.prepare(name, w, now)
 		}
@@ -344,19 +347,20 @@
 			count--
 		}
 	}
-	w.setWant(from, count)
+	w.setWant(from, count, now)
 	h.grant(m.Worker, w, now)
 }
 
-func (w *homed) setWant(node string, count int) {
+func (w *homed) setWant(node string, count int, now time.Time) {
 	i := slices.IndexFunc(w.wants, func(x want) bool { return x.node == node })
 	switch {
 	case count <= 0 && i >= 0:
 		w.wants = slices.Delete(w.wants, i, i+1)
 	case count > 0 && i >= 0:
 		w.wants[i].count = count
+		w.wants[i].heard = now
 	case count > 0:
-		w.wants = append(w.wants, want{node, count})
+		w.wants = append(w.wants, want{node, count, now})
 	}
 }
 
@@ -411,7 +415,9 @@
 
 // tick ends quarantines, repeats unacknowledged grants and recalls, and forgets workers with nothing to remember.
 func (h *home) tick(now time.Time) {
-	for name, w := range h.workers {
+	for _, name := range sortedKeys(h.workers) {
+		w := h.workers[name]
+		w.wants = slices.DeleteFunc(w.wants, func(x want) bool { return now.Sub(x.heard) >= wantTime })
 		busy := len(w.wants) > 0 || !w.ready
 		for i := range w.slots {
 			s := &w.slots[i]
