--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -222,7 +222,9 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonAnswerInvalid, http.StatusBadGateway,
 			"status "+strconv.Itoa(resp.StatusCode)+" is not a final answer")
 	}
-	if rq.spec.AnswerCheck == resource.AnswerCheckEcho && resp.Header.Get(HeaderRequestID) != rq.id {
+	// With "fresh" the identifier may be missing, but an answer that names another request is refused all the same.
+	echo := resp.Header.Get(HeaderRequestID)
+	if echo != rq.id && (echo != "" || rq.spec.AnswerCheck == resource.AnswerCheckEcho) {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonAnswerMismatch, http.StatusBadGateway,
 			"the answer does not carry the request's identifier")
 	}
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -25,6 +25,13 @@
 	return true
 }
 
+// hold counts work that is not a caller's request, also while draining.
+func (f *flight) hold() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.total++
+}
+
 func (f *flight) leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -31,6 +31,7 @@
 	fresh    *http.Transport
 	refusals *refusals
 	flight   flight
+	loops    sync.WaitGroup // one goroutine for each service
 
 	mu    sync.Mutex // serializes SetTable and Close
 	table atomic.Pointer[installed]
@@ -92,7 +93,7 @@
 		}
 		s.update(h.now(), r, customers)
 		if created {
-			go s.run()
+			h.loops.Go(s.run)
 		}
 		next.services[name] = s
 	}
@@ -139,6 +140,7 @@
 			s.close()
 		}
 	}
+	h.loops.Wait()
 	h.reuse.CloseIdleConnections()
 	h.fresh.CloseIdleConnections()
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -19,6 +19,7 @@
 const (
 	// acquireTimeout bounds one wait for a slot; the candidates are then chosen again.
 	acquireTimeout = 100 * time.Millisecond
+	acquirePause   = 5 * time.Millisecond
 	// retryAfter is named in refusals that do not depend on a queue.
 	retryAfter = time.Second
 )
@@ -134,14 +135,30 @@
 		return false
 	}
 	s.mu.Unlock()
+	// A slot that is not yet given to a request counts as in flight, so that Drain waits for its return.
+	s.h.flight.hold()
+	defer s.h.flight.leave()
 	ctx, cancel := context.WithTimeout(s.ctx, acquireTimeout)
 	defer cancel()
 	vm, err := s.h.cfg.Slots.Acquire(ctx, candidates)
-	if err != nil {
-		return s.ctx.Err() == nil
+	if err == nil {
+		s.give(vm)
+		return true
+	}
+	if ctx.Err() == nil {
+		s.pause()
+	}
+	return s.ctx.Err() == nil
+}
+
+// pause keeps slots that fail at once from occupying a processor.
+func (s *service) pause() {
+	timer := time.NewTimer(acquirePause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.ctx.Done():
 	}
-	s.give(vm)
-	return true
 }
 
 // give passes a slot on vm to the best waiting request, or returns the slot when there is none.
