--- a/coord/coord.go
+++ b/coord/coord.go
@@ -72,6 +72,9 @@
 	Records RecordSource
 	// InFlight returns the VMs under release on which this node still has requests; nil means none.
 	InFlight func() []string
+	// Routed returns the offset before which all records are in force in the routing table; nil takes that of the view. It
+	// is asked before InFlight, so that a request that started earlier is seen.
+	Routed func() uint64
 	// Health returns the workers that this node found not alive as their home node; nil means none.
 	Health func() []peer.WorkerHealth
 	// OnHealth is called with the workers that another member found not alive, at each of its heartbeats. It may be nil.
@@ -289,6 +292,7 @@
 // heartbeat returns the content of this node's heartbeat.
 func (c *Coord) heartbeat() peer.Heartbeat {
 	v := c.store.View()
+	routed := c.routed()
 	var inFlight []string
 	if c.cfg.InFlight != nil {
 		inFlight = c.cfg.InFlight()
@@ -302,6 +306,7 @@
 	defer c.mu.Unlock()
 	hb := peer.Heartbeat{
 		Health:    health,
+		Routed:    routed,
 		Zone:      c.cfg.Zone,
 		Next:      v.Next,
 		Draining:  c.draining,
@@ -326,6 +331,14 @@
 	c.history.Acknowledge(from, hb.Incarnation, hb.Epoch, hb.Released, time.Now())
 }
 
+// routed returns the offset before which this node starts work by all records.
+func (c *Coord) routed() uint64 {
+	if c.cfg.Routed == nil {
+		return c.store.View().Next
+	}
+	return c.cfg.Routed()
+}
+
 // Homed tells whether this node is the home node of a worker.
 func (c *Coord) Homed(worker string) bool {
 	c.mu.Lock()
--- a/coord/status.go
+++ b/coord/status.go
@@ -91,7 +91,7 @@
 // ReleaseWaiting returns the members that have not yet acknowledged the release of a VM: those that have not applied the
 // record at the offset, or still have requests on the VM. This node is included.
 func (c *Coord) ReleaseWaiting(vm string, offset uint64) []string {
-	own := c.store.View().Next
+	own := c.routed()
 	var ownInFlight []string
 	if c.cfg.InFlight != nil {
 		ownInFlight = c.cfg.InFlight()
@@ -112,7 +112,7 @@
 				waiting = append(waiting, m.Node)
 				continue
 			}
-			next, inFlight = hb.Next, hb.InFlight
+			next, inFlight = hb.Routed, hb.InFlight
 		}
 		if next <= offset || slices.Contains(inFlight, vm) {
 			waiting = append(waiting, m.Node)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,19 +37,21 @@
 	registry metrics.Registry
 	traces   *traceProvider
 
-	follower *follower.Follower
-	peers    peerSource
-	coord    *coord.Coord
-	entry    *entry.Handler
-	platform *platform.Client
-	poller   *platform.Poller
-	prober   *prober
-	routes   chan struct{} // wakes the goroutine that rebuilds the routing table
+	follower   *follower.Follower
+	peers      peerSource
+	coord      *coord.Coord
+	entry      *entry.Handler
+	platform   *platform.Client
+	poller     *platform.Poller
+	prober     *prober
+	maintainer *maintainer
+	routes     chan struct{} // wakes the goroutine that rebuilds the routing table
 
 	listeners listeners
 	draining  atomic.Bool
-	routed    atomic.Bool
-	closing   chan struct{}
+	// routedNext is the next offset after the state from which the routing table was made, 0 before the first table.
+	routedNext atomic.Uint64
+	closing    chan struct{}
 }
 
 // listeners are open from New on, so that a daemon that cannot listen fails before it joins the members.
@@ -127,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	d.maintainer = newMaintainer(d)
 	d.prober = newProber(d.log, d.coord.Homed, d.entry.SetProbe)
 	d.poller = platform.NewPoller(d.platform, d.cfg.Platform.PollInterval, d.onVMList, d.log)
 	d.registerGauges()
@@ -172,6 +175,7 @@
 		Peers:           &d.peers.PeerSource,
 		Records:         d.follower,
 		InFlight:        d.releasedInFlight,
+		Routed:          d.routedNext.Load,
 		Health:          func() []peer.WorkerHealth { return d.prober.notAlive() },
 		OnHealth:        func(node string, w []peer.WorkerHealth) { d.prober.onRemote(node, w) },
 		ShutdownTimeout: d.cfg.ShutdownTimeout,
@@ -184,6 +188,7 @@
 // onVMList installs a new VM list.
 func (d *Daemon) onVMList(list platform.VMList) {
 	d.prober.setTargets(list.VMs)
+	d.maintainer.onVMList(list)
 	notify(d.routes)
 }
 
@@ -233,6 +238,7 @@
 	parts.Go(func() { d.reportVMList(partsCtx) })
 	parts.Go(func() { d.prober.run(partsCtx) })
 	parts.Go(func() { d.keepRoutes(partsCtx) })
+	parts.Go(func() { d.maintainer.run(ctx) })
 	go func() {
 		defer close(coordDone)
 		d.fail(stop, d.coord.Run(coordCtx), coordCtx)
--- /dev/null
+++ b/daemon/fleet.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/berylwharf/berylwharf/planner"
+	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/routing"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+// maintenanceConfig is the name of the config resource that overrides the deadlines of maintenance. Its values are
+// durations such as "10m".
+const maintenanceConfig = "maintenance"
+
+// activeVMs returns the VMs that are out of service by plan, by name. An entry counts only while the VM is in that pool.
+func activeVMs(v *statelog.View) map[string]resource.ActiveVM {
+	active := make(map[string]resource.ActiveVM)
+	v.Each(resource.KindMaintenance, func(r *resource.Resource, spec resource.Spec) bool {
+		for _, a := range spec.(*resource.Maintenance).Active {
+			if vm, ok := v.Spec(vmResource(a.VM)).(*resource.VM); ok && vm.Pool == r.Name {
+				active[a.VM] = a
+			}
+		}
+		return true
+	})
+	return active
+}
+
+func vmResource(name string) resource.Key { return resource.Key{Kind: resource.KindVM, Name: name} }
+
+// observation is what a node sees of the VMs beside the declared state.
+type observation struct {
+	listed map[string]platform.VM
+	probe  func(vm string) routing.Probe
+	// idle tells whether every member has acknowledged that it starts nothing on the VM and nothing runs there.
+	idle func(vm string) bool
+	// restarted tells whether the VM was unlisted since a time and is listed again.
+	restarted func(vm string, since time.Time) bool
+}
+
+// observeFleet joins the declared state with what this node sees.
+func observeFleet(v *statelog.View, o observation) *planner.Fleet {
+	f := &planner.Fleet{}
+	active := activeVMs(v)
+	v.Each(resource.KindVM, func(r *resource.Resource, spec resource.Spec) bool {
+		f.VMs = append(f.VMs, observeVM(r.Name, spec.(*resource.VM), active, o))
+		return true
+	})
+	v.Each(resource.KindPool, func(r *resource.Resource, spec resource.Spec) bool {
+		f.Pools = append(f.Pools, planner.Pool{Name: r.Name, MinVMs: spec.(*resource.Pool).MinVMs})
+		return true
+	})
+	v.Each(resource.KindCustomer, func(r *resource.Resource, spec resource.Spec) bool {
+		for pool, b := range spec.(*resource.Customer).AvailabilityBudget {
+			f.Budgets = append(f.Budgets, planner.Budget{Customer: r.Name, Pool: pool, MaxUnavailable: b.MaxUnavailable})
+		}
+		return true
+	})
+	v.Each(resource.KindWave, func(r *resource.Resource, spec resource.Spec) bool {
+		f.Waves = append(f.Waves, observeWave(v, r, spec.(*resource.Wave)))
+		return true
+	})
+	return f
+}
+
+func observeVM(name string, spec *resource.VM, active map[string]resource.ActiveVM, o observation) planner.VM {
+	listed, ok := o.listed[name]
+	p := o.probe(name)
+	vm := planner.VM{
+		Name: name, Zone: listed.Zone, Rack: listed.Rack, Pool: spec.Pool, Drained: spec.Drain, Next: spec.Next,
+		Healthy: ok && listed.State == platform.StateLive && p != routing.ProbeDead && p != routing.ProbeLeaving,
+	}
+	a, ok := active[name]
+	if !ok {
+		return vm
+	}
+	vm.Phase, vm.Wave, vm.PhaseSince = planner.Phase(a.Phase), a.Wave, time.UnixMilli(a.SinceMs)
+	vm.Zone, vm.Rack = a.Zone, a.Rack
+	switch a.Phase {
+	case resource.PhaseDraining, resource.PhaseReleasing:
+		vm.Idle = o.idle(name)
+	case resource.PhaseRebooting:
+		vm.Rebooted = o.restarted(name, vm.PhaseSince)
+	}
+	return vm
+}
+
+// observeWave collects the results of a wave from its VMs, in the order in which they ended. A failure that is older than
+// the last change of the wave does not count again: an operator who resumes the wave has seen it.
+func observeWave(v *statelog.View, r *resource.Resource, spec *resource.Wave) planner.Wave {
+	w := planner.Wave{
+		Name: r.Name, Pool: spec.Pool, Order: spec.Order, FirstGroup: spec.FirstGroup, MaxParallel: spec.MaxParallel,
+		Paused: spec.Paused, Stopped: spec.StopReason,
+	}
+	type ended struct {
+		version uint64
+		result  planner.Result
+	}
+	var results []ended
+	v.Each(resource.KindVM, func(vm *resource.Resource, s resource.Spec) bool {
+		spec := s.(*resource.VM)
+		if spec.LastWave == r.Name {
+			failed := spec.LastFailed && vm.Version > r.Version
+			results = append(results, ended{vm.Version, planner.Result{VM: vm.Name, Failed: failed}})
+		}
+		return true
+	})
+	slices.SortFunc(results, func(a, b ended) int {
+		if a.version < b.version {
+			return -1
+		}
+		return 1
+	})
+	for _, e := range results {
+		w.Finished = append(w.Finished, e.result)
+	}
+	return w
+}
+
+// deadlines returns the deadlines of maintenance with the operators' overrides. A value that is not a duration is passed
+// over.
+func deadlines(v *statelog.View) planner.Deadlines {
+	d := planner.DefaultDeadlines()
+	c, ok := v.Spec(resource.Key{Kind: resource.KindConfig, Name: maintenanceConfig}).(*resource.Config)
+	if !ok {
+		return d
+	}
+	for name, to := range map[string]*time.Duration{
+		"drain": &d.Drain, "reboot": &d.Reboot, "verify": &d.Verify, "healthProof": &d.HealthProof,
+	} {
+		if value, err := time.ParseDuration(c.Values[name]); err == nil && value > 0 {
+			*to = value
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/daemon/fleet_test.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/standin/backend"
+	platformstandin "github.com/berylwharf/berylwharf/standin/platform"
+)
+
+func newFleet(t *testing.T, workers, nodes int) *cluster {
+	t.Helper()
+	c := newClusterWithPlatform(t, workers, nodes, backend.Work{Mean: 5 * time.Millisecond},
+		platformstandin.Config{RebootTime: 200 * time.Millisecond})
+	c.declare(time.Second)
+	c.must(resource.KindConfig, maintenanceConfig, resource.Config{Values: map[string]string{
+		"healthProof": "200ms", "reboot": "3s",
+	}})
+	c.must(resource.KindCustomer, "tanglaw", resource.Customer{
+		Share: 1, AvailabilityBudget: map[string]resource.Budget{"p": {MaxUnavailable: 1}},
+	})
+	return c
+}
+
+// must puts a resource on the version that the first node has.
+func (c *cluster) must(kind resource.Kind, name string, spec any) {
+	c.t.Helper()
+	key := resource.Key{Kind: kind, Name: name}
+	if _, err := c.put("n0", key, c.version("n0", key), spec); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) vm(name string) *resource.VM {
+	spec, _ := c.nodes["n0"].follower.View().Spec(vmResource(name)).(*resource.VM)
+	return spec
+}
+
+// sendAll sends requests through all nodes until stop is closed and counts those without an answer.
+func (c *cluster) sendAll(stop <-chan struct{}) (failed *atomic.Int64, done *sync.WaitGroup) {
+	failed, done = new(atomic.Int64), new(sync.WaitGroup)
+	for _, n := range c.nodes {
+		done.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := c.book(n, newKey(c.t), "1", "x"); r.status != http.StatusOK {
+					failed.Add(1)
+					c.t.Logf("status %d, verdict %q, %s, %v", r.status, r.verdict, r.body, r.err)
+				}
+			}
+		})
+	}
+	return failed, done
+}
+
+// TestWave guards against a wave that takes more VMs out of service than the availability budget permits, cuts off a
+// request, or does not reach each VM.
+func TestWave(t *testing.T) {
+	c := newFleet(t, 4, 3)
+	stop := make(chan struct{})
+	failed, done := c.sendAll(stop)
+	c.must(resource.KindWave, "october", resource.Wave{Pool: "p", MaxParallel: 4})
+	most := 0
+	c.eventually("all VMs have passed the wave", func() bool {
+		v := c.nodes["n0"].follower.View()
+		most = max(most, len(activeVMs(v)))
+		for vm := range c.backends {
+			if c.vm(vm).LastWave != "october" {
+				return false
+			}
+		}
+		return len(activeVMs(v)) == 0
+	})
+	close(stop)
+	done.Wait()
+	if most != 1 {
+		t.Fatalf("%d VMs were in maintenance at once, the budget permits 1", most)
+	}
+	if failed.Load() > 0 {
+		t.Fatalf("%d requests were not answered", failed.Load())
+	}
+}
+
+// TestWaveStops guards against a wave that goes on after a VM of its first group did not come back, and against one that
+// cannot be resumed.
+func TestWaveStops(t *testing.T) {
+	c := newFleet(t, 3, 2)
+	c.must(resource.KindConfig, maintenanceConfig, resource.Config{Values: map[string]string{
+		"healthProof": "200ms", "reboot": "500ms",
+	}})
+	first := "w1"
+	c.must(resource.KindWave, "october", resource.Wave{Pool: "p", Order: []string{first}})
+	key := resource.Key{Kind: resource.KindWave, Name: "october"}
+	wave := func() *resource.Wave { return c.nodes["n0"].follower.View().Spec(key).(*resource.Wave) }
+	c.eventually("the first VM is out of service", func() bool { return len(activeVMs(c.nodes["n0"].follower.View())) == 1 })
+	if err := c.backends[first].Inject(backend.Fault{Kind: backend.FaultLeave}); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("the wave stopped", func() bool { return wave().Paused })
+	if !strings.Contains(wave().StopReason, first) {
+		t.Fatalf("reason %q does not name %s", wave().StopReason, first)
+	}
+	for _, vm := range []string{"w0", "w2"} {
+		if c.vm(vm).LastWave != "" {
+			t.Fatalf("%s passed a stopped wave", vm)
+		}
+	}
+	if err := c.backends[first].Inject(backend.Fault{Kind: backend.FaultClear}); err != nil {
+		t.Fatal(err)
+	}
+	c.must(resource.KindConfig, maintenanceConfig, resource.Config{Values: map[string]string{"healthProof": "200ms", "reboot": "60s"}})
+	c.must(resource.KindWave, "october", resource.Wave{Pool: "p", Order: []string{first}})
+	c.eventually("the resumed wave reached all VMs", func() bool {
+		return c.vm("w0").LastWave == "october" && c.vm("w2").LastWave == "october"
+	})
+}
+
+// TestMoveWaitsForEveryMember guards against a VM that is used for two pools: while a member has a request on it, the
+// old pool keeps it.
+func TestMoveWaitsForEveryMember(t *testing.T) {
+	c := newFleet(t, 2, 2)
+	c.must(resource.KindPool, "q", resource.Pool{})
+	for _, b := range c.backends {
+		if err := b.Inject(backend.Fault{Kind: backend.FaultSlow, DelayMs: 3000, Method: http.MethodPost}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	running := make(chan reply, 16)
+	for range cap(running) {
+		go func() { running <- c.book(c.nodes["n1"], newKey(t), "1", "x") }()
+	}
+	c.eventually("requests run on w0", func() bool { return c.backends["w0"].Runs().Running > 0 })
+	c.must(resource.KindVM, "w0", resource.VM{Pool: "p", Next: "q"})
+	c.eventually("w0 has left p", func() bool {
+		inUse := c.backends["w0"].Runs().Running > 0
+		if c.vm("w0").Pool == "q" && inUse {
+			t.Fatal("w0 belongs to q while a request of p runs on it")
+		}
+		return c.vm("w0").Pool == "q"
+	})
+	for range cap(running) {
+		if r := <-running; r.status != http.StatusOK {
+			t.Fatalf("status %d, verdict %q, %s", r.status, r.verdict, r.body)
+		}
+	}
+	if c.vm("w0").Next != "" {
+		t.Fatal("the move is not finished")
+	}
+}
--- /dev/null
+++ b/daemon/maintain.go
@@ -0,0 +1,284 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/follower"
+	"github.com/berylwharf/berylwharf/planner"
+	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+const (
+	planInterval = time.Second
+	// proposeTimeout bounds one change by the planner. An unknown outcome is read from the next view.
+	proposeTimeout = 5 * time.Second
+	// requestInterval repeats a drain or reboot at the platform, whose answers can be lost. Both are harmless twice.
+	requestInterval = 30 * time.Second
+)
+
+// maintainer carries out the plans for the pools of which this node is the home node. The home node is only a convention
+// that saves work: every step changes the pool's maintenance resource, so that of two planners one gets a conflict.
+type maintainer struct {
+	d        *Daemon
+	requests map[string]time.Time // last request to the platform, by kind and VM
+
+	mu     sync.Mutex
+	absent map[string]time.Time // when a VM was last seen unlisted
+}
+
+func newMaintainer(d *Daemon) *maintainer {
+	return &maintainer{d: d, requests: make(map[string]time.Time), absent: make(map[string]time.Time)}
+}
+
+func (m *maintainer) run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if m.d.Ready() == "" {
+			m.round(ctx)
+		}
+	}
+}
+
+// onVMList remembers which declared VMs are not listed.
+func (m *maintainer) onVMList(list platform.VMList) {
+	listed := make(map[string]bool, len(list.VMs))
+	for _, vm := range list.VMs {
+		listed[vm.Name] = true
+	}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for vm := range activeVMs(m.d.follower.View()) {
+		if !listed[vm] {
+			m.absent[vm] = now
+		}
+	}
+}
+
+func (m *maintainer) restarted(vm string, since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.absent[vm].After(since)
+}
+
+// observe returns the fleet as this node sees it. Idleness is asked from the platform and is therefore optional.
+func (m *maintainer) observe(ctx context.Context, v *statelog.View) *planner.Fleet {
+	list, _ := m.d.poller.List()
+	listed := make(map[string]platform.VM, len(list.VMs))
+	for _, vm := range list.VMs {
+		listed[vm.Name] = vm
+	}
+	return observeFleet(v, observation{
+		listed:    listed,
+		probe:     m.d.prober.result,
+		idle:      func(vm string) bool { return m.idle(ctx, v, vm) },
+		restarted: m.restarted,
+	})
+}
+
+// idle tells whether all members have applied the newest change of the pool's maintenance without a request left on the
+// VM, and the platform runs no task on it.
+func (m *maintainer) idle(ctx context.Context, v *statelog.View, vm string) bool {
+	spec, ok := v.Spec(vmResource(vm)).(*resource.VM)
+	if !ok {
+		return false
+	}
+	r := v.Get(resource.Key{Kind: resource.KindMaintenance, Name: spec.Pool})
+	if r == nil || len(m.d.coord.ReleaseWaiting(vm, r.Version)) > 0 {
+		return false
+	}
+	w, err := m.d.platform.Worker(ctx, vm)
+	return err == nil && len(w.Tasks) == 0
+}
+
+// round plans once and carries out the steps of the pools homed here.
+func (m *maintainer) round(ctx context.Context) {
+	v := m.d.follower.View()
+	m.repeatRequests(ctx, v)
+	plan := planner.Compute(m.observe(ctx, v), deadlines(v), time.Now())
+	pools := make(map[string][]planner.Step)
+	for _, s := range plan.Steps {
+		if pool := poolOfStep(v, s); m.d.coord.Homed("pool/" + pool) {
+			pools[pool] = append(pools[pool], s)
+		}
+	}
+	for pool, steps := range pools {
+		if err := m.carryOut(ctx, v, pool, steps); err != nil {
+			m.d.log.Warnf("fleet: steps for pool %s: %v", pool, err)
+		}
+	}
+}
+
+func poolOfStep(v *statelog.View, s planner.Step) string {
+	if vm, ok := v.Spec(vmResource(s.VM)).(*resource.VM); ok {
+		return vm.Pool
+	}
+	if w, ok := v.Spec(resource.Key{Kind: resource.KindWave, Name: s.Wave}).(*resource.Wave); ok {
+		return w.Pool
+	}
+	return ""
+}
+
+// repeatRequests asks the platform to drain and reboot the VMs whose phase says so.
+func (m *maintainer) repeatRequests(ctx context.Context, v *statelog.View) {
+	for vm, a := range activeVMs(v) {
+		spec := v.Spec(vmResource(vm)).(*resource.VM)
+		if !m.d.coord.Homed("pool/" + spec.Pool) {
+			continue
+		}
+		switch a.Phase {
+		case resource.PhaseDraining:
+			m.request(vm, "drain", func() error { return m.d.platform.DrainVM(ctx, vm) })
+		case resource.PhaseRebooting:
+			if !m.restarted(vm, time.UnixMilli(a.SinceMs)) {
+				m.request(vm, "reboot", func() error { return m.d.platform.RebootVM(ctx, vm) })
+			}
+		}
+	}
+}
+
+func (m *maintainer) request(vm, kind string, f func() error) {
+	key := kind + " " + vm
+	if time.Since(m.requests[key]) < requestInterval {
+		return
+	}
+	m.requests[key] = time.Now()
+	if err := f(); err != nil {
+		m.d.log.Warnf("fleet: %s of %s: %v", kind, vm, err)
+		return
+	}
+	m.d.log.Infof("fleet: asked the platform to %s %s", kind, vm)
+}
+
+// carryOut applies the steps of one pool. Changes of VMs and waves come first, so that a crash in between leaves a VM
+// that is still out of service, never one that is in service without its result.
+func (m *maintainer) carryOut(ctx context.Context, v *statelog.View, pool string, steps []planner.Step) error {
+	key := resource.Key{Kind: resource.KindMaintenance, Name: pool}
+	current := &resource.Maintenance{}
+	base := uint64(0)
+	if r := v.Get(key); r != nil {
+		base = r.Version
+		current = v.Spec(key).(*resource.Maintenance)
+	}
+	next := &resource.Maintenance{Active: slices.Clone(current.Active)}
+	for _, s := range steps {
+		if err := m.record(ctx, v, s); err != nil {
+			return err
+		}
+		applyStep(next, s, m.place(s.VM))
+		m.d.log.Infof("fleet: %s %s%s: %s", s.Kind, s.VM, waveSuffix(s.Wave), s.Reason)
+	}
+	next.Active = slices.DeleteFunc(next.Active, func(a resource.ActiveVM) bool {
+		vm, ok := v.Spec(vmResource(a.VM)).(*resource.VM)
+		return !ok || vm.Pool != pool
+	})
+	if slices.Equal(next.Active, current.Active) {
+		return nil
+	}
+	return m.propose(ctx, key, base, next)
+}
+
+func waveSuffix(wave string) string {
+	if wave == "" {
+		return ""
+	}
+	return " in wave " + wave
+}
+
+func (m *maintainer) place(vm string) platform.VM {
+	list, _ := m.d.poller.List()
+	for _, e := range list.VMs {
+		if e.Name == vm {
+			return e
+		}
+	}
+	return platform.VM{}
+}
+
+// phaseAfter maps steps to the phase that they begin. Steps that are not listed end the maintenance of their VM.
+var phaseAfter = map[planner.StepKind]string{
+	planner.StepDrain:   resource.PhaseDraining,
+	planner.StepReboot:  resource.PhaseRebooting,
+	planner.StepVerify:  resource.PhaseVerifying,
+	planner.StepRelease: resource.PhaseReleasing,
+}
+
+func applyStep(next *resource.Maintenance, s planner.Step, place platform.VM) {
+	if s.VM == "" {
+		return
+	}
+	i := slices.IndexFunc(next.Active, func(a resource.ActiveVM) bool { return a.VM == s.VM })
+	phase, begins := phaseAfter[s.Kind]
+	switch {
+	case !begins && i >= 0:
+		next.Active = slices.Delete(next.Active, i, i+1)
+	case begins && i >= 0:
+		next.Active[i].Phase, next.Active[i].SinceMs = phase, time.Now().UnixMilli()
+	case begins:
+		next.Active = append(next.Active, resource.ActiveVM{
+			VM: s.VM, Wave: s.Wave, Phase: phase, SinceMs: time.Now().UnixMilli(), Zone: place.Zone, Rack: place.Rack,
+		})
+	}
+}
+
+// record writes what a step changes outside of the maintenance resource: the result of a VM, its new pool, or a stopped
+// wave.
+func (m *maintainer) record(ctx context.Context, v *statelog.View, s planner.Step) error {
+	if s.Kind == planner.StepStopWave {
+		key := resource.Key{Kind: resource.KindWave, Name: s.Wave}
+		wave := *v.Spec(key).(*resource.Wave)
+		wave.Paused, wave.StopReason = true, s.Reason
+		return m.propose(ctx, key, v.Get(key).Version, &wave)
+	}
+	key := vmResource(s.VM)
+	vm := *v.Spec(key).(*resource.VM)
+	switch s.Kind {
+	case planner.StepReturn:
+		vm.LastWave, vm.LastFailed = s.Wave, false
+	case planner.StepGiveUp:
+		vm.LastWave, vm.LastFailed = s.Wave, true
+	case planner.StepCancel:
+		if s.Wave == "" {
+			return nil
+		}
+		vm.LastWave, vm.LastFailed = s.Wave, true
+	case planner.StepAssign:
+		vm.Pool, vm.Next = vm.Next, ""
+	default:
+		return nil
+	}
+	return m.propose(ctx, key, v.Get(key).Version, &vm)
+}
+
+func (m *maintainer) propose(ctx context.Context, key resource.Key, base uint64, spec resource.Spec) error {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return errors.Wrap(err, key.String())
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	out, err := m.d.follower.Propose(ctx, follower.Change{
+		Op: statelog.OpPut, Key: key, Base: base, Author: "node " + m.d.cfg.Node, Spec: data,
+	})
+	if err != nil {
+		return errors.Wrap(err, key.String())
+	}
+	if out.Status != statelog.StatusAccepted {
+		return errors.Errorf("%s: the change is %s; planning again", key, out.Status)
+	}
+	return nil
+}
--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -158,6 +158,21 @@
 	return workers
 }
 
+// result returns the newest result for a VM, of this node or of its home node.
+func (p *prober) result(vm string) routing.Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if result, ok := p.results[vm]; ok {
+		return result
+	}
+	for _, workers := range p.remote {
+		if result, ok := workers[vm]; ok {
+			return result
+		}
+	}
+	return routing.ProbeUnknown
+}
+
 // onRemote takes over what another node found. A worker that the node no longer names is alive again.
 func (p *prober) onRemote(node string, workers []peer.WorkerHealth) {
 	now := make(map[string]routing.Probe, len(workers))
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -1,10 +1,6 @@
 package daemon
 
-import (
-	"context"
-
-	"github.com/berylwharf/berylwharf/resource"
-)
+import "context"
 
 // keepRoutes rebuilds the routing table when the declared state or the VM list changes. It starts once the state is
 // complete: a table from half a state would refuse services that exist.
@@ -18,7 +14,7 @@
 		view := d.follower.View()
 		if list, ok := d.poller.List(); ok {
 			d.entry.SetTable(buildTable(view, list.VMs))
-			d.routed.Store(true)
+			d.routedNext.Store(view.Next)
 		}
 		select {
 		case <-ctx.Done():
@@ -29,14 +25,13 @@
 	}
 }
 
-// releasedInFlight returns the VMs under hand-over on which this node still has requests.
+// releasedInFlight returns the VMs out of service by plan on which this node still has requests.
 func (d *Daemon) releasedInFlight() []string {
 	var busy []string
-	d.follower.View().Each(resource.KindVM, func(r *resource.Resource, spec resource.Spec) bool {
-		if spec.(*resource.VM).Next != "" && d.entry.InFlight(r.Name) > 0 {
-			busy = append(busy, r.Name)
+	for vm := range activeVMs(d.follower.View()) {
+		if d.entry.InFlight(vm) > 0 {
+			busy = append(busy, vm)
 		}
-		return true
-	})
+	}
 	return busy
 }
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -21,7 +21,7 @@
 		return "shutting down"
 	case !d.follower.Status().Loaded:
 		return "the state is not loaded yet"
-	case !d.routed.Load():
+	case d.routedNext.Load() == 0:
 		return "no VM list yet"
 	case !d.coord.Member():
 		return "not a member yet"
--- a/daemon/table.go
+++ b/daemon/table.go
@@ -10,8 +10,7 @@
 )
 
 // buildTable derives the routing table from the declared state and the platform's VM list. A VM gets new work for the
-// services of its pool only while the list shows it as live, no drain is declared, and no hand-over to another pool is
-// under way.
+// services of its pool only while the list shows it as live, no drain is declared, and it is not out of service by plan.
 func buildTable(v *statelog.View, vms []platform.VM) *routing.Table {
 	pools := backendsByPool(v, vms)
 	t := &routing.Table{
@@ -45,12 +44,13 @@
 
 func backendsByPool(v *statelog.View, vms []platform.VM) map[string][]routing.Backend {
 	pools := make(map[string][]routing.Backend)
+	active := activeVMs(v)
 	for _, vm := range vms {
 		if vm.Role != platform.RoleWorker || vm.State != platform.StateLive {
 			continue
 		}
 		pool, ok := poolOf(v, vm.Name)
-		if !ok {
+		if _, out := active[vm.Name]; !ok || out {
 			continue
 		}
 		pools[pool] = append(pools[pool], routing.Backend{VM: vm.Name, Zone: vm.Zone, Rack: vm.Rack, Addr: vm.Addr})
@@ -61,10 +61,10 @@
 	return pools
 }
 
-// poolOf returns the pool for which a VM takes new work.
+// poolOf returns the pool for which a VM takes new work. A VM that is to move serves its old pool until its release.
 func poolOf(v *statelog.View, vm string) (string, bool) {
-	spec, ok := v.Spec(resource.Key{Kind: resource.KindVM, Name: vm}).(*resource.VM)
-	if !ok || spec.Drain || spec.Next != "" {
+	spec, ok := v.Spec(vmResource(vm)).(*resource.VM)
+	if !ok || spec.Drain {
 		return "", false
 	}
 	return spec.Pool, true
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -33,6 +33,8 @@
 	Released bool `cbor:"10,keyasint,omitempty"`
 	// Health lists the workers that the node probes as their home node and that are not alive, at most MaxHealth.
 	Health []WorkerHealth `cbor:"11,keyasint,omitempty"`
+	// Routed is the offset before which all records are in force in the node's routing table.
+	Routed uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // MaxHealth bounds the workers in one heartbeat, so that an outage of a whole zone does not grow heartbeats without end.
