--- a/follower/fake_test.go
+++ b/follower/fake_test.go
@@ -125,6 +125,9 @@
 	default:
 		return platform.ReadResponse{}, syscall.ECONNREFUSED
 	}
+	if err := ctx.Err(); err != nil { // the hook took too long
+		return platform.ReadResponse{}, err
+	}
 	timer := time.After(wait)
 	for {
 		l.mu.Lock()
--- a/follower/recover_test.go
+++ b/follower/recover_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/statelog"
 )
 
@@ -120,6 +122,46 @@
 	eventually(t, "equal views", func() bool { return b.View().Hash == a.View().Hash && a.View().Hash == c.View().Hash })
 }
 
+// Guards against a log service that is slow for a long time being treated as one that is down.
+func TestSlowLog(t *testing.T) {
+	l := newFakeLog()
+	l.set(always(faultNone), func(string) fault { time.Sleep(50 * time.Millisecond); return faultNone })
+	cfg := testConfig("a", l)
+	cfg.PollWait, cfg.ReadTimeout = 2*time.Millisecond, 2*time.Millisecond
+	f, _ := start(t, cfg)
+	propose(t, f, putVM("vm-1", "p1", 0))
+}
+
+// Guards against memory that grows with the log, and against records from another offset than the one asked for.
+func TestHistory(t *testing.T) {
+	f, err := New(testConfig("a", newFakeLog()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for o := uint64(1); o <= historyRecords+10; o++ {
+		f.applyLocked([]platform.LogRecord{{Offset: o, Data: []byte{byte(o)}}})
+	}
+	if _, ok := f.RecordsFrom(10); ok {
+		t.Error("offset 10 is still kept")
+	}
+	for _, from := range []uint64{11, 4000, historyRecords + 11} {
+		recs, ok := f.RecordsFrom(from)
+		if !ok || uint64(len(recs)) != historyRecords+11-from || len(recs) > 0 && recs[0].Offset != from {
+			t.Errorf("from %d: %d records, %v", from, len(recs), ok)
+		}
+	}
+	if _, ok := f.RecordsFrom(historyRecords + 12); ok {
+		t.Error("an offset that was not applied is served")
+	}
+	var h history
+	for o := range uint64(300) {
+		h.add(platform.LogRecord{Offset: o + 1, Data: make([]byte, 64<<10)})
+	}
+	if len(h.records) != historyBytes/(64<<10) {
+		t.Errorf("%d records of 64 KiB are kept", len(h.records))
+	}
+}
+
 // Guards against a state that reverts, and against a proposal that is reported as stale, which means "not accepted",
 // after its first attempt was accepted at an offset that this node skipped and no longer remembers.
 func TestJump(t *testing.T) {
--- a/statelog/schedule_test.go
+++ b/statelog/schedule_test.go
@@ -233,20 +233,19 @@
 func (m *sim) propose(n *simNode) {
 	m.ids++
 	r := Record{ID: testID(m.ids), ReadPos: n.state.Next(), Author: n.name}
-	v := n.state.View()
 	if m.IntN(4) == 0 {
 		member := testMember(fmt.Sprint("m", m.IntN(2)), "region-1", 1+m.Uint64N(3))
 		r.Op, r.Member = OpJoin, member
-		if old, ok := v.Member(member.Node); ok {
-			r.Base = old.Version
+		if i, ok := n.state.findMember(member.Node); ok {
+			r.Base = n.state.members[i].Version
 		}
 		if r.Base != 0 && m.IntN(2) == 0 {
 			r.Op = OpLeave
 		}
 	} else {
 		r.Op, r.Key = OpPut, resource.Key{Kind: resource.KindVM, Name: fmt.Sprint("vm", m.IntN(3))}
-		if old := v.Get(r.Key); old != nil {
-			r.Base = old.Version
+		if old := n.state.tables[kindIndex[r.Key.Kind]].get(r.Key.Name); old != nil {
+			r.Base = old.res.Version
 		}
 		if r.Base != 0 && m.IntN(3) == 0 {
 			r.Op = OpDelete
