--- a/entry/helper_test.go
+++ b/entry/helper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -115,3 +116,26 @@
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String(), s
 }
+
+// rawServer accepts connections and passes each to fn with its number, counted from 1.
+func rawServer(t testing.TB, fn func(n int, c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				fn(n, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
