--- a/entry/conn_test.go
+++ b/entry/conn_test.go
@@ -73,6 +73,9 @@
 	if r := n.do("POST", "/svc/booking/", "x"); r.status != 502 || r.header.Get("Berylwharf-Verdict") != "may-have-run" {
 		t.Fatalf("closed after one byte: %d %s", r.status, r.body)
 	}
+	if used := n.slots.Used("vm-a"); used != 1 {
+		t.Fatalf("%d slots in quarantine after a broken request", used)
+	}
 	n = newNode(t, nil, refusing)
 	r := n.do("POST", "/svc/booking/", "x")
 	if r.status != 503 || r.header.Get("Berylwharf-Verdict") != "not-run" || r.header.Get("Retry-After") == "" {
