Seed the choice of servers per node; test retries and a full queue

Cause: with the default seed all nodes made the same random choices and loaded the same servers.

Change: a random seed per node unless one is set, hashed with the service name.

--- a/entry/config.go
+++ b/entry/config.go
@@ -29,7 +29,8 @@
 	TracerProvider trace.TracerProvider
 	// Policy orders waiting requests; admission.Weighted when nil.
 	Policy admission.Policy
-	// Seed makes the random choices of backend servers reproducible.
+	// Seed makes the random choices of backend servers reproducible. With 0 each node gets its own random seed, since
+	// nodes that choose alike would load the same servers.
 	Seed uint64
 }
 
--- a/entry/conn_test.go
+++ b/entry/conn_test.go
@@ -286,3 +286,15 @@
 		t.Fatalf("%d connections, want a new one", conns.Load())
 	}
 }
+
+// TestRetriesHideBrokenServer guards against repeatable requests that fail although other servers work.
+func TestRetriesHideBrokenServer(t *testing.T) {
+	good, _ := echoServer(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	broken := rawServer(t, func(_ int, c net.Conn) { readOne(bufio.NewReader(c)) })
+	n := newNode(t, func(_ *Config, s *resource.Service) { s.MaxRunMs = 1 }, broken, good, refusing, good)
+	for range 200 {
+		if r := n.do("GET", "/svc/booking/", ""); r.status != 200 {
+			t.Fatalf("%d %s", r.status, r.body)
+		}
+	}
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,9 @@
 	if cfg.Registry == nil {
 		cfg.Registry = metrics.NewRegistry()
 	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
 	if cfg.TracerProvider == nil {
 		cfg.TracerProvider = noop.NewTracerProvider()
 	}
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestDrainCutsNothing guards against a stop that interrupts running or waiting requests or accepts new ones, and against
-// new work on a VM that has left the table.
+// a refusal by a full queue that reaches the caller without verdict or Retry-After.
 func TestDrainCutsNothing(t *testing.T) {
 	started, release := make(chan struct{}, 100), make(chan struct{})
 	addr, _ := echoServer(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -98,7 +98,7 @@
 		<-release
 		w.Write([]byte("ok"))
 	})
-	n := newNode(t, nil, addr)
+	n := newNode(t, func(_ *Config, s *resource.Service) { s.QueueLimit = 4 }, addr)
 	replies := make(chan reply, 100)
 	const requests = SlotsPerWorker + 4
 	for range requests {
@@ -116,6 +116,11 @@
 	if got := n.h.InFlight("vm-a"); got != SlotsPerWorker {
 		t.Fatalf("%d requests in flight on vm-a", got)
 	}
+	// The queue is full; the newcomer has the latest deadline of the only customer.
+	r := n.do("POST", "/svc/booking/", "x", HeaderDeadline, "60000")
+	if r.status != 503 || r.header.Get(verdict.Header) != "not-run" || r.header.Get("Retry-After") == "" {
+		t.Fatalf("full queue: %d %v %s", r.status, r.header, r.body)
+	}
 	drained := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
--- a/entry/service.go
+++ b/entry/service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/admission"
@@ -68,7 +69,7 @@
 		h: h, name: name,
 		wake:    make(chan struct{}, 1),
 		queue:   admission.New(admission.Options{Policy: h.cfg.Policy}),
-		set:     routing.NewSet(h.cfg.Zone, rand.New(rand.NewPCG(h.cfg.Seed, uint64(len(name))))),
+		set:     routing.NewSet(h.cfg.Zone, rand.New(rand.NewPCG(h.cfg.Seed, xxhash.Sum64String(name)))),
 		budget:  routing.NewBudget(),
 		latency: routing.NewLatency(),
 	}
