Judge a repeated claim by the newest epoch; add tables for the cores

A member that was replaced by a newer incarnation counted as a gap, so that every table of every home node was rebuilt and its free slots quarantined. A slot that became idle just after a recall stayed idle until the next tick.

--- a/claims/table.go
+++ b/claims/table.go
@@ -92,6 +92,9 @@
 	fp      Fingerprint
 	attempt AttemptID
 	phase   Phase
+	// epoch and covered are those of the last grant.
+	epoch   uint64
+	covered bool
 	// before is the phase to return to when the attempt is withdrawn, 0 for none.
 	before  Phase
 	answer  *Answer
@@ -146,8 +149,7 @@
 		return Reply{Status: StatusMismatch, Phase: c.phase}
 	}
 	if c.phase == PhaseClaimed && c.attempt == r.Attempt {
-		// The answer to this attempt was lost and it asks again.
-		return Reply{Status: StatusGranted, Covered: covered}
+		return c.again(r, cov, covered)
 	}
 	if c.phase != PhaseNotRun || c.attempt == r.Attempt {
 		return Reply{Status: StatusKnown, Phase: c.phase, Answer: c.answer}
@@ -164,10 +166,27 @@
 	c.before = PhaseNotRun
 	c.phase = PhaseClaimed
 	c.attempt = r.Attempt
+	c.epoch, c.covered = r.Epoch, vouched
 	t.touch(c, now)
 	return Reply{Status: StatusGranted, Covered: vouched}
 }
 
+// again answers an attempt that already holds the claim: its answer was lost, or the epoch moved and it asks the home
+// nodes of the new one. What this node could vouch for at the old epoch does not count at the new one.
+func (c *claim) again(r Request, cov Coverage, covered bool) Reply {
+	if r.Epoch == c.epoch {
+		return Reply{Status: StatusGranted, Covered: c.covered}
+	}
+	if !r.First && !covered {
+		return Reply{Status: StatusNotCovered}
+	}
+	if !cov.Settled || (cov.Replaced && !covered) {
+		return Reply{Status: StatusUnsettled}
+	}
+	c.epoch, c.covered = r.Epoch, covered
+	return Reply{Status: StatusGranted, Covered: covered}
+}
+
 func (t *Table) claimNew(r Request, cov Coverage, covered bool, now time.Time) Reply {
 	if !cov.Settled {
 		return Reply{Status: StatusUnsettled}
@@ -181,7 +200,9 @@
 	if len(t.claims) >= t.maxClaims {
 		return Reply{Status: StatusFull}
 	}
-	t.insert(&claim{key: r.Key, fp: r.Fingerprint, attempt: r.Attempt, phase: PhaseClaimed}, now)
+	t.insert(&claim{
+		key: r.Key, fp: r.Fingerprint, attempt: r.Attempt, phase: PhaseClaimed, epoch: r.Epoch, covered: covered,
+	}, now)
 	return Reply{Status: StatusGranted, Covered: covered}
 }
 
--- a/membership/set.go
+++ b/membership/set.go
@@ -121,23 +121,24 @@
 	return xxhash.Sum64(b[:])
 }
 
-// step classifies the change from s to next. A single change adds or removes exactly one member; any other difference
-// means that epochs in between may have been missed.
+// single tells whether the change from s to next concerns one node: it joined, left, or was replaced by a newer
+// incarnation. Any other difference means that epochs in between may have been missed. A node that left and joined again
+// unseen does no harm: who is a home in both sets is one without that node too.
 func (s *Set) single(next *Set) bool {
-	added, removed := 0, 0
+	var added, removed []string
 	for i := range next.Members {
 		m := &next.Members[i]
 		if !s.Has(m.Node, m.Incarnation) {
-			added++
+			added = append(added, m.Node)
 		}
 	}
-	for i := range s.Members {
-		m := &s.Members[i]
-		if !next.Has(m.Node, m.Incarnation) {
-			removed++
-		}
+	for _, m := range s.Removed(next) {
+		removed = append(removed, m.Node)
+	}
+	if len(added) == 1 && len(removed) == 1 {
+		return added[0] == removed[0]
 	}
-	return added+removed == 1
+	return len(added)+len(removed) == 1
 }
 
 // Removed returns the members of s that are not in next, an older incarnation of a node included.
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -35,16 +35,16 @@
 
 // holding is a worker of which this node holds, wants or has held slots.
 type holding struct {
-	slots     [PerWorker]held
-	queue     []*waiter // in order of arrival; satisfied ones are removed lazily
-	live      int       // waiters in queue that still wait
-	asked     int       // live waiters whose request includes this worker
-	sentWant  int
-	sentAt    time.Time
-	dirty     bool // asked differs from what the home node was told
-	owed      int
-	owedUntil time.Time
-	orphans   int // requests that run on slots of an ended membership
+	slots         [PerWorker]held
+	queue         []*waiter // in order of arrival; satisfied ones are removed lazily
+	live          int       // waiters in queue that still wait
+	asked         int       // live waiters whose request includes this worker
+	sentWant      int
+	sentAt        time.Time
+	dirty         bool // asked differs from what the home node was told
+	owed          int
+	recalledUntil time.Time // others wait, as far as is known
+	orphans       int       // requests that run on slots of an ended membership
 }
 
 // waiter is a request that waits for a slot of one of its candidates.
@@ -96,6 +96,7 @@
 			w.reset()
 		}
 		w.owed = 0
+		w.recalledUntil = time.Time{}
 		w.sentWant = 0
 		w.dirty = false
 		h.mark(name, w)
@@ -298,7 +299,7 @@
 // free puts a slot to its next use: back to the home node when that is owed, to a waiter, or idle.
 func (h *holder) free(name string, w *holding, i int, now time.Time) {
 	s := &w.slots[i]
-	if h.draining || (w.owed > 0 && now.Before(w.owedUntil)) {
+	if h.draining || (w.owed > 0 && now.Before(w.recalledUntil)) {
 		w.owed = max(0, w.owed-1)
 		h.giveBack(name, s, i, time.Time{}, now)
 		return
@@ -306,7 +307,7 @@
 	h.use(name, w, i, now)
 }
 
-// use gives a slot to the oldest waiter, or keeps it idle.
+// use gives a slot to the oldest waiter, or keeps it idle unless another node waits for it.
 func (h *holder) use(name string, w *holding, i int, now time.Time) {
 	s := &w.slots[i]
 	if x := w.oldest(); x != nil {
@@ -315,6 +316,10 @@
 		h.remove(x)
 		return
 	}
+	if now.Before(w.recalledUntil) {
+		h.giveBack(name, s, i, time.Time{}, now)
+		return
+	}
 	s.state = heldIdle
 	s.since = now
 }
@@ -421,5 +426,5 @@
 		}
 	}
 	w.owed = max(0, owed)
-	w.owedUntil = now.Add(recallTime)
+	w.recalledUntil = now.Add(recallTime)
 }
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,164 @@
+package slots
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/berylwharf/berylwharf/membership"
+	"github.com/berylwharf/berylwharf/statelog"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+var kindNames = []string{"", "acquire", "grant", "grant-ack", "return", "return-ack", "recall", "report", "report-ack"}
+
+// cluster is some nodes whose messages are delivered by command.
+type cluster struct {
+	nodes    map[string]*Node
+	now      time.Time
+	next     uint64
+	released map[string]bool
+}
+
+func (c *cluster) node(name string) *Node {
+	n := c.nodes[name]
+	if n == nil {
+		n = NewNode(name, 30*time.Second)
+		n.SetEpoch(membership.NewSet(0, nil), true, false, c.isReleased, c.now)
+		c.nodes[name] = n
+	}
+	return n
+}
+
+func (c *cluster) isReleased(node string, _ uint64) bool { return c.released[node] }
+
+// settle delivers messages until there are none left, without those of or to the nodes in cut, and prints them.
+func (c *cluster) settle(out *strings.Builder, cut string) {
+	for {
+		moved := false
+		for _, from := range sortedKeys(c.nodes) {
+			n := c.nodes[from]
+			for _, a := range n.Assigned() {
+				fmt.Fprintf(out, "%s: request %d runs on %s\n", from, a.ID, a.Worker)
+			}
+			for _, e := range n.Outbox() {
+				m := e.Msg
+				note := ""
+				lost := strings.Contains(cut, from) || strings.Contains(cut, e.Node)
+				if lost {
+					note = " (lost)"
+				}
+				switch m.Kind {
+				case KindReportAck, KindReturnAck, KindGrantAck:
+				case KindReport:
+					fmt.Fprintf(out, "%s->%s report of %d%s\n", from, e.Node, len(m.Holdings), note)
+				case KindAcquire, KindRecall:
+					fmt.Fprintf(out, "%s->%s %s %s count=%d%s\n", from, e.Node, kindNames[m.Kind], m.Worker, m.Count, note)
+				default:
+					fmt.Fprintf(out, "%s->%s %s %s/%d%s\n", from, e.Node, kindNames[m.Kind], m.Worker, m.Slot, note)
+				}
+				if !lost && c.nodes[e.Node] != nil {
+					c.nodes[e.Node].Receive(from, m, c.now)
+				}
+				moved = true
+			}
+		}
+		if !moved {
+			return
+		}
+	}
+}
+
+// TestProtocol guards against grants before the reports are complete, against slots of removed members that are granted
+// again too soon, against slots that stay with a node that does not use them, and against waiting requests that are
+// forgotten. In the tables, w1 has home node a
+// among a and b, and w2 has b.
+func TestProtocol(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		c := &cluster{nodes: make(map[string]*Node), now: t0, released: make(map[string]bool)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			var name, worker, cut string
+			var epoch, ms, count, only int
+			for arg, into := range map[string]any{
+				"node": &name, "worker": &worker, "cut": &cut, "epoch": &epoch, "ms": &ms, "count": &count, "quarantine": &only,
+			} {
+				if d.HasArg(arg) {
+					d.ScanArgs(t, arg, into)
+				}
+			}
+			switch d.Cmd {
+			case "epoch":
+				var members []statelog.Member
+				for _, m := range strings.Fields(d.Input) {
+					c.node(m)
+					members = append(members, statelog.Member{Node: m, Incarnation: 1})
+				}
+				set := membership.NewSet(uint64(epoch), members)
+				for _, n := range sortedKeys(c.nodes) {
+					if name == "" || strings.Contains(name, n) {
+						_, member := set.Find(n)
+						c.nodes[n].SetEpoch(set, d.HasArg("gap"), member, c.isReleased, c.now)
+					}
+				}
+			case "acquire":
+				for range max(1, count) {
+					c.next++
+					c.node(name).Acquire(c.next, strings.Split(worker, "+"), c.now)
+				}
+			case "cancel":
+				c.node(name).Cancel(uint64(count), c.now)
+			case "return":
+				for range max(1, count) {
+					c.node(name).Return(worker, time.Duration(only)*time.Millisecond, c.now)
+				}
+			case "drain":
+				c.node(name).Drain(c.now)
+			case "released":
+				c.released[name] = true
+			case "remove":
+				delete(c.nodes, name)
+			case "tick":
+				c.now = c.now.Add(time.Duration(ms) * time.Millisecond)
+				for _, n := range sortedKeys(c.nodes) {
+					c.nodes[n].Tick(c.now)
+				}
+			case "counts":
+				for _, n := range sortedKeys(c.nodes) {
+					fmt.Fprintf(&out, "%s: %+v\n", n, c.nodes[n].Counts())
+				}
+				return out.String()
+			}
+			c.settle(&out, cut)
+			return out.String()
+		})
+	})
+}
+
+// TestBalance guards against recalls that let two holders exchange slots for ever, and against a node without any slot
+// that waits for ever.
+func TestBalance(t *testing.T) {
+	for _, c := range []struct {
+		held map[string]int
+		want []want
+		owed map[string]int
+	}{
+		{map[string]int{"a": 8}, []want{{node: "b", count: 8}}, map[string]int{"a": 4}},
+		{map[string]int{"a": 4, "b": 4}, []want{{node: "a", count: 3}, {node: "b", count: 3}}, map[string]int{}},
+		{map[string]int{"a": 5, "b": 3}, []want{{node: "b", count: 3}}, map[string]int{"a": 1}},
+		{map[string]int{"a": 1, "b": 7}, []want{{node: "c", count: 1}}, map[string]int{"b": 1}},
+		{map[string]int{"a": 1}, []want{{node: "c", count: 1}}, map[string]int{"a": 1}},
+		{map[string]int{}, []want{{node: "c", count: 1}}, map[string]int{}},
+	} {
+		held := fmt.Sprint(c.held)
+		owed := balance(c.want, c.held, slices.Sorted(slices.Values(sortedKeys(c.held))))
+		if fmt.Sprint(owed) != fmt.Sprint(c.owed) {
+			t.Errorf("held %s, wanted %v: owed %v, want %v", held, c.want, owed, c.owed)
+		}
+	}
+}
