--- a/claims/table.go
+++ b/claims/table.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Default bounds of a table. An entry without an answer takes about 400 bytes, so that a full table stays under 64 MB.
+// Default bounds of a table. An entry without an answer takes about 550 bytes, so that a full table
+// with its answers stays near 70 MB.
 const (
 	DefaultMaxClaims      = 100_000
 	DefaultMaxAnswerBytes = 16 << 20
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -26,7 +26,7 @@
 }
 
 // start runs a node until the test ends. Changes to its configuration come from edit.
-func start(t *testing.T, log *fakeLog, name string, edit func(*Config)) *testNode {
+func start(t testing.TB, log *fakeLog, name string, edit func(*Config)) *testNode {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -51,7 +51,7 @@
 	return n
 }
 
-func (n *testNode) shutdown(t *testing.T) {
+func (n *testNode) shutdown(t testing.TB) {
 	n.stop()
 	if err := <-n.done; err != nil {
 		t.Errorf("run: %v", err)
@@ -60,7 +60,7 @@
 }
 
 // eventually waits for a condition. Its bound only ends a test that would not end by itself.
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for range 3000 {
 		if f() {
@@ -84,7 +84,7 @@
 	return log, nodes
 }
 
-func settled(t *testing.T, nodes []*testNode) {
+func settled(t testing.TB, nodes []*testNode) {
 	t.Helper()
 	for _, n := range nodes {
 		eventually(t, n.cfg.Node+" knows that all are at its epoch", func() bool {
--- a/slots/home.go
+++ b/slots/home.go
@@ -42,7 +42,8 @@
 	slots    [PerWorker]slot
 	wants    []want // served in turn, front first
 	orders   map[string]uint64
-	recalled time.Time
+	recalled time.Time            // when the balance was last looked at
+	notified map[string]time.Time // when a holder was last sent a recall
 }
 
 // homeEpoch is one epoch as the home side saw it.
@@ -133,6 +134,7 @@
 		w := h.workers[name]
 		w.wants = nil
 		w.orders = nil
+		w.notified = nil
 		if ready, _ := h.chained(name, len(h.epochs)-1); ready && w.ready {
 			h.quarantineGone(w, gone, now)
 			continue
--- a/slots/message.go
+++ b/slots/message.go
@@ -15,12 +15,14 @@
 	// ResendInterval is the time after which an unacknowledged message is sent again. It is several round trips, also
 	// between the zones of a region, and short against the time of a request.
 	ResendInterval = 200 * time.Millisecond
-	// wantTime is how long a request for slots counts at the home node. The holder repeats it each ResendInterval while
-	// it waits, and the message that ends it may be lost.
-	wantTime = time.Second
-	// recallInterval bounds the recalls of one worker, since each is sent to all its holders.
+	// wantResend is the time after which a request for slots is repeated, and wantTime how long it counts at the home
+	// node, since the message that ends it may be lost. Requests are repeated less often than other messages because
+	// they stand as long as a worker is overloaded; they are lost only with a link.
+	wantResend = time.Second
+	wantTime   = 3 * time.Second
+	// recallInterval bounds how often the balance of one worker is looked at.
 	recallInterval = 20 * time.Millisecond
-	// recallTime is how long a recall counts at a holder. The home node repeats it while others wait.
+	// recallTime is how long a recall counts at a holder. It is repeated after half of that while others wait.
 	recallTime = 2 * time.Second
 	// maxWant bounds the slots of one worker that a holder asks for.
 	maxWant = PerWorker
--- a/slots/recall.go
+++ b/slots/recall.go
@@ -22,10 +22,21 @@
 	}
 	slices.Sort(holders)
 	owed := balance(w.wants, held, holders)
+	if w.notified == nil {
+		w.notified = make(map[string]time.Time)
+	}
 	for _, node := range holders {
 		if owed[node] == 0 && len(w.wants) == 1 && w.wants[0].node == node {
 			continue
 		}
+		pause := recallTime / 2
+		if owed[node] > 0 {
+			pause = ResendInterval
+		}
+		if last, ok := w.notified[node]; ok && now.Sub(last) < pause {
+			continue
+		}
+		w.notified[node] = now
 		h.send(node, Message{Kind: KindRecall, Worker: name, Count: owed[node]})
 	}
 }
--- a/slots/tick.go
+++ b/slots/tick.go
@@ -21,7 +21,7 @@
 	}
 	for _, name := range sortedKeys(h.workers) {
 		w := h.workers[name]
-		if h.wanted(w) > 0 && now.Sub(w.sentAt) >= ResendInterval {
+		if h.wanted(w) > 0 && now.Sub(w.sentAt) >= wantResend {
 			h.sendWant(name, w, now)
 		}
 	}
