Do not link to an address listed under another node's name

Cause: while a list names a node that is gone for the address of another, the dialer would open and replace the link to that other node each time, and calls on the old link would fail.

Change: the dialer checks the name after the other side's hello, before its own proof, so that the acceptor does not take up the link either.

Result: go test -race -count=6 ./peer passes, go test -race of the other four packages passes.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return errors.Wrap(err, "dial")
 	}
-	other, err := handshake(ctx, c, n.key, n.hello(), true)
+	other, err := handshake(ctx, c, n.key, n.hello(), func(other hello) error { return n.admit(other, t) })
 	if err != nil {
 		_ = c.CloseNow()
 		if errors.Is(err, ErrWrongKey) {
@@ -133,13 +133,21 @@
 		}
 		return err
 	}
+	n.runLink(newLink(n, c, other, true))
+	return nil
+}
+
+// admit decides whether a dialed node is the one to link with. An address may be listed under the name of a node that is
+// gone; dialing it would replace the link to the node that has it now, again and again.
+func (n *Net) admit(other hello, t *target) error {
 	if other.Node == n.cfg.Node {
-		_ = c.CloseNow()
 		return errSelf
 	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t.node != "" && t.node != other.Node && n.links[other.Node] != nil {
+		return errors.Errorf("the address is that of %s, which has a link", other.Node)
+	}
 	t.node = other.Node
-	n.mu.Unlock()
-	n.runLink(newLink(n, c, other, true))
 	return nil
 }
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -120,17 +120,19 @@
 
 // handshake runs both sides' proofs. The dialer proves first, so that a node never answers the challenge of someone who
 // has not shown to know the key.
-func handshake(ctx context.Context, c *websocket.Conn, key []byte, own hello, dialed bool) (hello, error) {
+// A dialer asks admit before it proves, so that the acceptor does not take up a link that the dialer will not use; admit
+// is nil for an acceptor.
+func handshake(ctx context.Context, c *websocket.Conn, key []byte, own hello, admit func(hello) error) (hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	c.SetReadLimit(maxHandshake)
-	if dialed {
-		return handshakeDialer(ctx, c, key, own)
+	if admit != nil {
+		return handshakeDialer(ctx, c, key, own, admit)
 	}
 	return handshakeAcceptor(ctx, c, key, own)
 }
 
-func handshakeDialer(ctx context.Context, c *websocket.Conn, key []byte, own hello) (hello, error) {
+func handshakeDialer(ctx context.Context, c *websocket.Conn, key []byte, own hello, admit func(hello) error) (hello, error) {
 	if err := send(ctx, c, own); err != nil {
 		return hello{}, err
 	}
@@ -138,6 +140,9 @@
 	if err != nil {
 		return other, err
 	}
+	if err := admit(other); err != nil {
+		return other, err
+	}
 	if err := send(ctx, c, proof{mac(key, roleDialer, own, other)}); err != nil {
 		return other, err
 	}
--- a/peer/net.go
+++ b/peer/net.go
@@ -196,7 +196,7 @@
 		n.log.Warnf("peer: refused %s: %v", r.RemoteAddr, err)
 		return
 	}
-	other, err := handshake(n.ctx, c, n.key, n.hello(), false)
+	other, err := handshake(n.ctx, c, n.key, n.hello(), nil)
 	<-n.slots
 	if err != nil {
 		n.log.Warnf("peer: refused %s: %v", r.RemoteAddr, err)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -115,6 +115,11 @@
 		la, lb := a.link("b"), b.link("a")
 		return la != nil && lb != nil && la.dialed && !lb.dialed
 	})
+	// An address listed under the name of a node that is gone must not replace the link again and again.
+	l := a.link("b")
+	if err := a.dial(context.Background(), b.addr(), &target{node: "gone"}); err == nil || a.link("b") != l {
+		t.Errorf("dial under another name: %v", err)
+	}
 	var remote *RemoteError
 	if err := a.Call(context.Background(), "b", "fail", nil, nil); !errors.As(err, &remote) || remote.Message != "no" {
 		t.Errorf("handler's error: %v", err)
@@ -192,7 +197,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.CloseNow() })
-	if _, err := handshake(ctx, c, []byte(testKey), newHello("x", 1), true); err != nil {
+	if _, err := handshake(ctx, c, []byte(testKey), newHello("x", 1), func(hello) error { return nil }); err != nil {
 		t.Fatal(err)
 	}
 	c.SetReadLimit(MaxFrame)
