Wait for bookings in the daemon tests' setup

Cause: TestKilledNodeReturnsSlots sent its first booking in the 2 s after two joins, in which some first attempts are refused as not run. Change: the cluster of the daemon tests waits until bookings are served before a test starts.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -231,6 +231,26 @@
 		c.awaitReady(name)
 		c.eventually("node "+name+" serves", func() bool { return c.get(n).status == http.StatusOK })
 	}
+	c.awaitBookings()
+}
+
+// awaitBookings waits until bookings are served. Two changes of the members within 2 s leave some identifiers without a
+// home node that can vouch for them, so that bookings under them are refused; a daemon becomes ready after that time,
+// which these tests set to 0.
+func (c *cluster) awaitBookings() {
+	c.t.Helper()
+	for name, n := range c.nodes {
+		served := 0
+		c.eventually("node "+name+" serves bookings", func() bool {
+			for ; served < 50; served++ {
+				if c.book(n, newKey(c.t), "1", "x").status != http.StatusOK {
+					served = 0
+					return false
+				}
+			}
+			return true
+		})
+	}
 }
 
 func (c *cluster) awaitReady(name string) {
