Add plan, explain, move, pause and resume to the command line

Cause: operators could not see what a wave waits for, nor pause, resume or move without editing files. Change: GET /v1/plan; commands plan, explain, move, pause, resume; claim outcomes that a dead home node does not get are counted and logged at most once in 10 s instead of once for each request.

--- a/command/command.go
+++ b/command/command.go
@@ -57,7 +57,8 @@
 			return usagef("no command")
 		},
 		Commands: []*cli.Command{
-			r.apply(), r.get(), r.describe(), r.diff(), r.delete(), r.watch(), r.drain(), r.nodes(), r.change(), r.completion(),
+			r.apply(), r.get(), r.describe(), r.diff(), r.delete(), r.watch(), r.drain(), r.move(), r.pause(),
+			r.resume(), r.plan(), r.explain(), r.nodes(), r.change(), r.completion(),
 		},
 	}
 	for _, c := range app.Commands {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -33,6 +33,22 @@
 	}
 }
 
+type fakePlanner struct{}
+
+func (fakePlanner) PlanNow(context.Context) *operator.PlanResponse {
+	return &operator.PlanResponse{
+		Waves: []operator.WaveProgress{
+			{Name: "october", Pool: "p", Total: 8, Finished: 2, Failed: 1, Active: 1},
+			{Name: "september", Pool: "q", Total: 4, Finished: 4, Paused: true, StopReason: "VM q1 of the first group failed"},
+		},
+		Steps: []operator.PlanStep{{Kind: "drain", Wave: "october", VM: "vm1", Reason: "next in the wave"}},
+		Waits: []operator.PlanStep{
+			{Wave: "october", VM: "vm2", Reason: "customer tanglaw has 0 of 2 unavailable VMs left in pool p"},
+			{Wave: "september", Reason: "stopped: VM q1 of the first group failed"},
+		},
+	}
+}
+
 // fixture is a server with a fake store and the means to run commands against it.
 type fixture struct {
 	store *operatortest.Store
@@ -43,7 +59,7 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{store: operatortest.New(), dir: t.TempDir()}
-	server := httptest.NewServer(operator.NewHandler(operator.Config{Store: f.store, Nodes: fakeNodes{}}))
+	server := httptest.NewServer(operator.NewHandler(operator.Config{Store: f.store, Nodes: fakeNodes{}, Planner: fakePlanner{}}))
 	t.Cleanup(server.Close)
 	f.url = server.URL
 	t.Setenv("BERYLWHARF_SERVER", f.url)
--- a/command/drain.go
+++ b/command/drain.go
@@ -33,6 +33,18 @@
 	if key.Kind != resource.KindVM {
 		return usagef("only a vm can be drained, not a %s", key.Kind)
 	}
+	drain := !s.Bool("undo")
+	return changeSpec(ctx, s, key, func(spec resource.Spec) bool {
+		vm := spec.(*resource.VM)
+		changed := vm.Drain != drain
+		vm.Drain = drain
+		return changed
+	})
+}
+
+// changeSpec reads a resource, changes its spec with edit, and puts it on the version that was read. edit reports whether
+// it changed anything.
+func changeSpec(ctx context.Context, s *session, key resource.Key, edit func(resource.Spec) bool) error {
 	author, err := s.author()
 	if err != nil {
 		return err
@@ -45,11 +57,9 @@
 	if err != nil {
 		return err
 	}
-	vm := spec.(*resource.VM)
 	res := result{Kind: key.Kind, Name: key.Name, Result: resultUnchanged, Version: current.Version}
-	if drain := !s.Bool("undo"); vm.Drain != drain || s.IsSet("base") {
-		vm.Drain = drain
-		data, err := json.Marshal(vm)
+	if edit(spec) || s.IsSet("base") {
+		data, err := json.Marshal(spec)
 		if err != nil {
 			return errors.Wrap(err, "encode spec")
 		}
--- /dev/null
+++ b/command/fleet.go
@@ -0,0 +1,207 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/berylwharf/berylwharf/operator"
+	"github.com/berylwharf/berylwharf/resource"
+)
+
+func (r *runner) move() *cli.Command {
+	return &cli.Command{
+		Name:      "move",
+		Usage:     "move a VM to another pool, or withdraw the move with --undo",
+		ArgsUsage: "vm NAME",
+		Flags: changeFlags(
+			&cli.StringFlag{Name: "to", Usage: "pool that receives the VM"},
+			&cli.BoolFlag{Name: "undo", Usage: "withdraw a move that is not finished"},
+		),
+		Action: r.action(runMove),
+	}
+}
+
+func runMove(ctx context.Context, s *session) error {
+	key, err := keyOfKind(s, resource.KindVM)
+	if err != nil {
+		return err
+	}
+	to := s.String("to")
+	if (to == "") != s.Bool("undo") {
+		return usagef("exactly one of --to POOL and --undo is needed")
+	}
+	return changeSpec(ctx, s, key, func(spec resource.Spec) bool {
+		vm := spec.(*resource.VM)
+		if to == vm.Pool {
+			to = ""
+		}
+		changed := vm.Next != to
+		vm.Next = to
+		return changed
+	})
+}
+
+func (r *runner) pause() *cli.Command {
+	return &cli.Command{
+		Name:      "pause",
+		Usage:     "start no more VMs of a maintenance wave; what is under way finishes",
+		ArgsUsage: "wave NAME",
+		Flags:     changeFlags(),
+		Action:    r.action(func(ctx context.Context, s *session) error { return setPaused(ctx, s, true) }),
+	}
+}
+
+func (r *runner) resume() *cli.Command {
+	return &cli.Command{
+		Name:      "resume",
+		Usage:     "continue a wave that was paused or stopped by itself; its failures so far no longer stop it",
+		ArgsUsage: "wave NAME",
+		Flags:     changeFlags(),
+		Action:    r.action(func(ctx context.Context, s *session) error { return setPaused(ctx, s, false) }),
+	}
+}
+
+func setPaused(ctx context.Context, s *session, paused bool) error {
+	key, err := keyOfKind(s, resource.KindWave)
+	if err != nil {
+		return err
+	}
+	return changeSpec(ctx, s, key, func(spec resource.Spec) bool {
+		w := spec.(*resource.Wave)
+		changed := w.Paused != paused || w.StopReason != ""
+		w.Paused, w.StopReason = paused, ""
+		return changed
+	})
+}
+
+// keyOfKind returns the resource that the arguments name, which must be of one kind.
+func keyOfKind(s *session, kind resource.Kind) (resource.Key, error) {
+	key, err := keyArgument(s.Context)
+	if err != nil {
+		return key, err
+	}
+	if key.Kind != kind {
+		return key, usagef("only a %s can be named here, not a %s", kind, key.Kind)
+	}
+	return key, nil
+}
+
+func (r *runner) plan() *cli.Command {
+	return &cli.Command{
+		Name:   "plan",
+		Usage:  "show the progress of waves, the steps that are due, and what waits and why",
+		Flags:  sharedFlags(),
+		Action: r.action(runPlan),
+	}
+}
+
+func runPlan(ctx context.Context, s *session) error {
+	if _, err := arguments(s.Context, 0, 0); err != nil {
+		return err
+	}
+	return printPlan(ctx, s, func(operator.PlanStep) bool { return true }, func(operator.WaveProgress) bool { return true })
+}
+
+func (r *runner) explain() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show what a VM or a wave waits for",
+		ArgsUsage: "vm|wave NAME",
+		Flags:     sharedFlags(),
+		Action:    r.action(runExplain),
+	}
+}
+
+func runExplain(ctx context.Context, s *session) error {
+	key, err := keyArgument(s.Context)
+	if err != nil {
+		return err
+	}
+	if key.Kind != resource.KindVM && key.Kind != resource.KindWave {
+		return usagef("only a vm or a wave can be explained, not a %s", key.Kind)
+	}
+	if _, err := s.client.Get(ctx, key); err != nil {
+		return err
+	}
+	return printPlan(ctx, s, func(step operator.PlanStep) bool {
+		return key.Kind == resource.KindVM && step.VM == key.Name || key.Kind == resource.KindWave && step.Wave == key.Name
+	}, func(w operator.WaveProgress) bool { return key.Kind == resource.KindWave && w.Name == key.Name })
+}
+
+func printPlan(ctx context.Context, s *session, step func(operator.PlanStep) bool, wave func(operator.WaveProgress) bool) error {
+	plan, err := s.client.Plan(ctx)
+	if err != nil {
+		return err
+	}
+	plan = filterPlan(plan, step, wave)
+	if s.json() {
+		return s.printJSON(plan)
+	}
+	w := tabwriter.NewWriter(s.env.Stdout, 0, 0, 2, ' ', 0)
+	for _, p := range plan.Waves {
+		_, _ = fmt.Fprintf(w, "wave %s\t%s\t%d of %d, %d failed, %d in maintenance%s\n",
+			p.Name, bar(p.Finished, p.Total), p.Finished, p.Total, p.Failed, p.Active, waveState(p))
+	}
+	for _, p := range plan.Steps {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", p.Kind, subject(p), p.Reason)
+	}
+	for _, p := range plan.Waits {
+		_, _ = fmt.Fprintf(w, "waits\t%s\t%s\n", subject(p), p.Reason)
+	}
+	if len(plan.Waves)+len(plan.Steps)+len(plan.Waits) == 0 {
+		_, _ = fmt.Fprintln(w, "nothing is due and nothing waits")
+	}
+	return w.Flush()
+}
+
+func filterPlan(p *operator.PlanResponse, step func(operator.PlanStep) bool, wave func(operator.WaveProgress) bool) *operator.PlanResponse {
+	kept := &operator.PlanResponse{Waves: []operator.WaveProgress{}, Steps: []operator.PlanStep{}, Waits: []operator.PlanStep{}}
+	for _, w := range p.Waves {
+		if wave(w) {
+			kept.Waves = append(kept.Waves, w)
+		}
+	}
+	for _, s := range p.Steps {
+		if step(s) {
+			kept.Steps = append(kept.Steps, s)
+		}
+	}
+	for _, s := range p.Waits {
+		if step(s) {
+			kept.Waits = append(kept.Waits, s)
+		}
+	}
+	return kept
+}
+
+const barWidth = 20
+
+// bar shows a share as a text of fixed width.
+func bar(part, total int) string {
+	full := 0
+	if total > 0 {
+		full = barWidth * min(part, total) / total
+	}
+	return "[" + strings.Repeat("#", full) + strings.Repeat(".", barWidth-full) + "]"
+}
+
+func waveState(p operator.WaveProgress) string {
+	switch {
+	case p.StopReason != "":
+		return ", stopped: " + p.StopReason
+	case p.Paused:
+		return ", paused"
+	}
+	return ""
+}
+
+func subject(p operator.PlanStep) string {
+	if p.VM == "" {
+		return "wave " + p.Wave
+	}
+	return "vm " + p.VM
+}
--- a/coord/claims.go
+++ b/coord/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/berylwharf/berylwharf/claims"
 	"github.com/berylwharf/berylwharf/membership"
@@ -35,6 +36,8 @@
 	deliveryTries   = 3
 	deliveryTimeout = time.Second
 	deliveryDelay   = 300 * time.Millisecond
+
+	undeliveredInterval = 10 * time.Second
 )
 
 // activeClaim is a granted attempt of this node that has not ended.
@@ -260,6 +263,23 @@
 	}
 }
 
+// reportUndelivered counts an outcome that a home node did not get, and logs at most one line each undeliveredInterval: a
+// dead home node loses one outcome for each request until its removal.
+func (c *Coord) reportUndelivered(home string, err error) {
+	undelivered := metrics.GetOrRegisterCounter("coord.claims.undelivered", c.cfg.Metrics)
+	undelivered.Inc(1)
+	now := time.Now()
+	c.mu.Lock()
+	due := now.Sub(c.undeliveredAt) >= undeliveredInterval
+	if due {
+		c.undeliveredAt = now
+	}
+	c.mu.Unlock()
+	if due {
+		c.log.Warnf("coord: outcome of a claim not delivered to %s: %v (%d so far)", home, err, undelivered.Count())
+	}
+}
+
 func (c *Coord) deliverTo(home string, d claims.Done) {
 	for try := 1; ; try++ {
 		ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout)
@@ -269,7 +289,7 @@
 			return
 		}
 		if try == deliveryTries {
-			c.log.Warnf("coord: outcome of a claim not delivered to %s: %v", home, err)
+			c.reportUndelivered(home, err)
 			return
 		}
 		t := time.NewTimer(deliveryDelay)
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -111,6 +111,8 @@
 	joined      bool // a join of this process was accepted
 	list        vmList
 
+	undeliveredAt time.Time // of the last log line about it
+
 	deliveries chan struct{} // bounds the claim outcomes being delivered
 	background sync.WaitGroup
 	stopped    chan struct{} // closed when Run stops delivering
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -239,16 +240,20 @@
 // which these tests set to 0.
 func (c *cluster) awaitBookings() {
 	c.t.Helper()
+	const bookings = 50
 	for name, n := range c.nodes {
-		served := 0
 		c.eventually("node "+name+" serves bookings", func() bool {
-			for ; served < 50; served++ {
-				if c.book(n, newKey(c.t), "1", "x").status != http.StatusOK {
-					served = 0
-					return false
-				}
+			var served atomic.Int64
+			var wg sync.WaitGroup
+			for range bookings {
+				wg.Go(func() {
+					if c.book(n, newKey(c.t), "1", "x").status == http.StatusOK {
+						served.Add(1)
+					}
+				})
 			}
-			return true
+			wg.Wait()
+			return served.Load() == bookings
 		})
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -310,6 +310,7 @@
 			Handler: operator.NewHandler(operator.Config{
 				Store:   operator.FromFollower(d.follower),
 				Nodes:   d,
+				Planner: d.maintainer,
 				Token:   d.cfg.Operators.Token.Reveal(),
 				Allow:   d.cfg.Operators.Allow,
 				Closing: d.closing,
--- /dev/null
+++ b/daemon/plan.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/berylwharf/berylwharf/operator"
+	"github.com/berylwharf/berylwharf/planner"
+	"github.com/berylwharf/berylwharf/resource"
+)
+
+// PlanNow implements operator.Planner.
+func (m *maintainer) PlanNow(ctx context.Context) *operator.PlanResponse {
+	v := m.d.follower.View()
+	fleet := m.observe(ctx, v)
+	plan := planner.Compute(fleet, deadlines(v), time.Now())
+	p := &operator.PlanResponse{
+		Waves: waveProgress(fleet), Steps: make([]operator.PlanStep, 0, len(plan.Steps)),
+		Waits: make([]operator.PlanStep, 0, len(plan.Waits)),
+	}
+	for _, s := range plan.Steps {
+		p.Steps = append(p.Steps, operator.PlanStep{Kind: string(s.Kind), Wave: s.Wave, VM: s.VM, Reason: s.Reason})
+	}
+	for _, w := range plan.Waits {
+		reason := w.Reason
+		if waiting := m.unacknowledged(w.VM); waiting != "" {
+			reason += "; not acknowledged by " + waiting
+		}
+		p.Waits = append(p.Waits, operator.PlanStep{Wave: w.Wave, VM: w.VM, Reason: reason})
+	}
+	return p
+}
+
+// unacknowledged names the members that have not acknowledged that a VM in maintenance gets no more work.
+func (m *maintainer) unacknowledged(vm string) string {
+	v := m.d.follower.View()
+	active, ok := activeVMs(v)[vm]
+	if !ok || (active.Phase != resource.PhaseDraining && active.Phase != resource.PhaseReleasing) {
+		return ""
+	}
+	spec := v.Spec(vmResource(vm)).(*resource.VM)
+	r := v.Get(resource.Key{Kind: resource.KindMaintenance, Name: spec.Pool})
+	names := ""
+	for i, node := range m.d.coord.ReleaseWaiting(vm, r.Version) {
+		if i > 0 {
+			names += ", "
+		}
+		names += node
+	}
+	return names
+}
+
+func waveProgress(f *planner.Fleet) []operator.WaveProgress {
+	progress := []operator.WaveProgress{}
+	for _, w := range f.SortedWaves() {
+		p := operator.WaveProgress{
+			Name: w.Name, Pool: w.Pool, Finished: len(w.Finished), Paused: w.Paused, StopReason: w.Stopped,
+		}
+		for _, r := range w.Finished {
+			if r.Failed {
+				p.Failed++
+			}
+		}
+		for i := range f.VMs {
+			if f.VMs[i].Pool == w.Pool {
+				p.Total++
+			}
+			if f.VMs[i].Wave == w.Name {
+				p.Active++
+			}
+		}
+		progress = append(progress, p)
+	}
+	return progress
+}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -32,6 +32,8 @@
 type Config struct {
 	Store Store // required; FromFollower adapts a follower.Store
 	Nodes Nodes // may be nil: no nodes are listed
+	// Planner may be nil: the plan is empty.
+	Planner Planner
 	// Token is the bearer token. Without one, only loopback addresses have access.
 	Token string
 	// Allow lists the networks that have access. Empty: loopback addresses only.
@@ -85,6 +87,7 @@
 	})
 	mux.Handle("/v1/changes/{id}", methods{http.MethodGet: s.server(typed(s.change), decodeID, encodeJSON)})
 	mux.Handle("/v1/nodes", methods{http.MethodGet: s.server(typedNoRequest(s.nodes), decodeNothing, encodeJSON)})
+	mux.Handle("/v1/plan", methods{http.MethodGet: s.server(typedNoRequest(s.plan), decodeNothing, encodeJSON)})
 	mux.Handle("/v1/watch", methods{http.MethodGet: s.server(typed(s.watch), decodeWatch, encodeWatch)})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, errorf(http.StatusNotFound, CodeNotFound, "", "there is no %s", shown(r.URL.Path)))
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -85,8 +85,8 @@
 	Waves   []Wave
 }
 
-// sortedWaves returns the waves by name, so that a plan does not depend on the order of the input.
-func (f *Fleet) sortedWaves() []*Wave {
+// SortedWaves returns the waves by name, so that a plan does not depend on the order of the input.
+func (f *Fleet) SortedWaves() []*Wave {
 	waves := make([]*Wave, 0, len(f.Waves))
 	for i := range f.Waves {
 		waves = append(waves, &f.Waves[i])
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -70,7 +70,7 @@
 	}
 	l := newLedger(f)
 	p.planMoves(f, l)
-	for _, w := range f.sortedWaves() {
+	for _, w := range f.SortedWaves() {
 		p.planWave(f, l, w)
 	}
 	return p
