Select policies and maxRunMs in the flood experiment; count unknown ends

Each request that misses its deadline by little puts its slot in quarantine for maxRunMs. The report now shows how many requests ended as may-have-run.

--- a/cmd/berylwharf-flood/main.go
+++ b/cmd/berylwharf-flood/main.go
@@ -36,6 +36,8 @@
 		ArgsUsage:       " ",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "scenarios", Value: "none,batch,urgent,both,saturated", Usage: "scenarios, separated by commas"},
+			&cli.StringFlag{Name: "policies", Value: "Weighted,FirstInFirstOut,FixedPriority,EqualShares", Usage: "policies, separated by commas"},
+			&cli.DurationFlag{Name: "max-run", Usage: "maxRunMs of the services (0: the default)"},
 			&cli.StringFlag{Name: "out", Usage: "directory for the report and the plots"},
 		},
 		Action: run,
@@ -63,14 +65,21 @@
 	if c.NArg() > 0 {
 		return errors.Errorf("unexpected argument %q", c.Args().First())
 	}
-	scenarios, err := choose(c.String("scenarios"))
+	scenarios, err := choose("-scenarios", c.String("scenarios"), flood.Scenarios(), func(s flood.Scenario) string { return s.Name })
+	if err != nil {
+		return err
+	}
+	policies, err := choose("-policies", c.String("policies"), flood.Policies(), func(p flood.Policy) string { return p.Name })
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	samples, err := flood.Run(ctx, scenarios, func(scenario, policy string) {
-		fmt.Fprintf(os.Stderr, "%s scenario %s, policy %s\n", time.Now().Format(time.TimeOnly), scenario, policy)
+	samples, err := flood.Run(ctx, flood.Config{
+		Scenarios: scenarios, Policies: policies, MaxRun: c.Duration("max-run"),
+		Progress: func(scenario, policy string) {
+			fmt.Fprintf(os.Stderr, "%s scenario %s, policy %s\n", time.Now().Format(time.TimeOnly), scenario, policy)
+		},
 	})
 	if err != nil {
 		return err
@@ -87,21 +96,23 @@
 	return nil
 }
 
-// choose returns the named scenarios in their fixed order.
-func choose(list string) ([]flood.Scenario, error) {
+// choose returns the named items of a list in the order of all.
+func choose[T any](option, list string, all []T, name func(T) string) ([]T, error) {
 	wanted := map[string]bool{}
-	for name := range strings.SplitSeq(list, ",") {
-		wanted[strings.TrimSpace(name)] = true
-	}
-	var chosen []flood.Scenario
-	for _, s := range flood.Scenarios() {
-		if wanted[s.Name] {
-			chosen = append(chosen, s)
-			delete(wanted, s.Name)
+	for part := range strings.SplitSeq(list, ",") {
+		wanted[strings.TrimSpace(part)] = true
+	}
+	var chosen []T
+	var names []string
+	for _, item := range all {
+		names = append(names, name(item))
+		if wanted[name(item)] {
+			chosen = append(chosen, item)
+			delete(wanted, name(item))
 		}
 	}
-	for name := range wanted {
-		return nil, errors.Errorf("-scenarios: %q (permitted: none, batch, urgent, both, saturated)", name)
+	for unknown := range wanted {
+		return nil, errors.Errorf("%s: %q (permitted: %s)", option, unknown, strings.Join(names, ", "))
 	}
 	return chosen, nil
 }
--- a/flood/fleet.go
+++ b/flood/fleet.go
@@ -33,18 +33,25 @@
 	backends []*backend.Server
 }
 
-// startFleet starts the servers with empty queues under a policy. Each backend server runs a request for work.
-func startFleet(p admission.Policy, work time.Duration) (*fleet, error) {
+// setup holds what differs between fleets.
+type setup struct {
+	policy admission.Policy
+	work   time.Duration // run time of each request
+	maxRun time.Duration // 0 means the default of a service
+}
+
+// startFleet starts the servers with empty queues.
+func startFleet(s setup) (*fleet, error) {
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	h, err := entry.New(entry.Config{
-		Node: "entry-a", Zone: "zone-a", Slots: entry.NewLocalSlots(), Logger: quiet, Policy: p, Seed: DefaultSeed,
+		Node: "entry-a", Zone: "zone-a", Slots: entry.NewLocalSlots(), Logger: quiet, Policy: s.policy, Seed: DefaultSeed,
 	})
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{handler: h}
-	table, err := f.startBackends(work)
+	table, err := f.startBackends(s)
 	if err != nil {
 		f.close()
 		return nil, err
@@ -61,7 +68,7 @@
 	return f, nil
 }
 
-func (f *fleet) startBackends(work time.Duration) (*routing.Table, error) {
+func (f *fleet) startBackends(s setup) (*routing.Table, error) {
 	t := &routing.Table{
 		Services: map[string]*routing.Service{}, Hosts: map[string]string{}, Customers: map[string]*resource.Customer{},
 	}
@@ -70,12 +77,12 @@
 	}
 	for i := range services {
 		name := serviceName(i)
-		spec := &resource.Service{Pool: name, AnswerCheck: resource.AnswerCheckEcho}
+		spec := &resource.Service{Pool: name, AnswerCheck: resource.AnswerCheckEcho, MaxRunMs: s.maxRun.Milliseconds()}
 		spec.SetDefaults()
 		svc := &routing.Service{Name: name, Spec: spec}
 		for j := range workersPerService {
 			vm := name + "-vm-" + strconv.Itoa(j+1)
-			b, err := backend.Start("127.0.0.1:0", backend.Config{Name: vm, Work: backend.Work{Mean: work}})
+			b, err := backend.Start("127.0.0.1:0", backend.Config{Name: vm, Work: backend.Work{Mean: s.work}})
 			if err != nil {
 				return nil, errors.Wrap(err, "flood: backend server")
 			}
--- a/flood/report.go
+++ b/flood/report.go
@@ -73,6 +73,8 @@
 	FloodDelayed, WorkDelay int
 	// FloodFactor is the flood that was sent, as a multiple of the flooded service's capacity.
 	FloodFactor float64
+	// Unknown counts all requests, of the work and the floods, that ended as may-have-run.
+	Unknown int
 	// Runs counts runs at backend servers; Waste those without an answer that reached its caller in time.
 	Runs, Waste int
 	// Rate is the answers a second of the flooded service in the window, as a part of its capacity.
@@ -190,6 +192,9 @@
 		if inTime(o) {
 			useful++
 		}
+		if o.Kind == load.KindMayHaveRun || o.Kind == load.KindBroken {
+			m.Unknown++
+		}
 		end := at(o.Event) + o.Latency
 		if o.Kind == load.KindAnswered && flooded(o.Event) && end >= s.Scenario.From && end < s.Scenario.To {
 			answers++
--- a/flood/report_test.go
+++ b/flood/report_test.go
@@ -128,7 +128,7 @@
 		arrivals[i].AtMs -= floodFrom.Milliseconds()
 	}
 	for _, p := range Policies() {
-		s, err := play(context.Background(), p.Policy, 10*time.Millisecond, work,
+		s, err := play(context.Background(), setup{policy: p.Policy, work: 10 * time.Millisecond}, work,
 			[][]load.Event{Flood{Growers, "batch"}.events(arrivals)})
 		if err != nil {
 			t.Fatal(err)
--- a/flood/run.go
+++ b/flood/run.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/berylwharf/berylwharf/admission"
 	"github.com/berylwharf/berylwharf/load"
 )
 
@@ -20,14 +19,23 @@
 	Runs     *load.Runs
 }
 
-// Run plays the recorded traces for each scenario under each policy. progress is told about each run before it starts.
-func Run(ctx context.Context, scenarios []Scenario, progress func(scenario, policy string)) ([]*Sample, error) {
+// Config selects what Run plays. Progress is told about each run before it starts.
+type Config struct {
+	Scenarios []Scenario
+	Policies  []Policy
+	// MaxRun is the services' maxRunMs; 0 means the default.
+	MaxRun   time.Duration
+	Progress func(scenario, policy string)
+}
+
+// Run plays the recorded traces for each scenario under each policy.
+func Run(ctx context.Context, cfg Config) ([]*Sample, error) {
 	arrivals, err := Recorded(traceFlood)
 	if err != nil {
 		return nil, err
 	}
 	var samples []*Sample
-	for _, sc := range scenarios {
+	for _, sc := range cfg.Scenarios {
 		work, err := Recorded(sc.Trace)
 		if err != nil {
 			return nil, err
@@ -36,9 +44,9 @@
 		for _, f := range sc.Floods {
 			floods = append(floods, f.events(arrivals))
 		}
-		for _, p := range Policies() {
-			progress(sc.Name, p.Name)
-			s, err := play(ctx, p.Policy, workTime, work, floods)
+		for _, p := range cfg.Policies {
+			cfg.Progress(sc.Name, p.Name)
+			s, err := play(ctx, setup{policy: p.Policy, work: workTime, maxRun: cfg.MaxRun}, work, floods)
 			if err != nil {
 				return nil, errors.Wrapf(err, "scenario %s, policy %s", sc.Name, p.Name)
 			}
@@ -51,8 +59,8 @@
 
 // play sends the work and the floods at the same time to a new fleet. Each flood has a sender of its own, so that a bound
 // on its waiting requests holds up no work.
-func play(ctx context.Context, p admission.Policy, run time.Duration, work []load.Event, floods [][]load.Event) (*Sample, error) {
-	f, err := startFleet(p, run)
+func play(ctx context.Context, fleetSetup setup, work []load.Event, floods [][]load.Event) (*Sample, error) {
+	f, err := startFleet(fleetSetup)
 	if err != nil {
 		return nil, err
 	}
--- a/flood/table.go
+++ b/flood/table.go
@@ -37,6 +37,9 @@
 	}
 	b.WriteString("\n|---|---:|---:|---:|\n")
 	for _, p := range Policies() {
+		if r.Shares[p.Name] == nil {
+			continue
+		}
 		fmt.Fprintf(b, "| %s |", p.Name)
 		for _, c := range Customers() {
 			fmt.Fprintf(b, " %.3f |", r.Shares[p.Name][c.Name])
@@ -68,12 +71,12 @@
 func (r *Report) writeSummaries(b *bytes.Buffer) {
 	b.WriteString("\n### Whole runs\n\n" +
 		"| Scenario | Policy | Flood sent | × capacity | Sent late | Answered | Refused at once | Refused late | " +
-		"Rate/capacity | Runs | Waste | Other services kept | Recovery s |\n" +
-		"|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
+		"May have run (all) | Rate/capacity | Runs | Waste | Other services kept | Recovery s |\n" +
+		"|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
 	for _, s := range r.Summaries {
-		fmt.Fprintf(b, "| %s | %s | %d | %.1f | %d | %d | %d | %d | %.2f | %d | %d (%.1f%%) | %d of %d | %s |\n",
+		fmt.Fprintf(b, "| %s | %s | %d | %.1f | %d | %d | %d | %d | %d | %.2f | %d | %d (%.1f%%) | %d of %d | %s |\n",
 			s.Scenario, s.Policy, s.Flood.Total(), s.FloodFactor, s.FloodDelayed+s.WorkDelay, s.Flood.InTime, s.Flood.AtOnce,
-			s.Flood.Waited, s.Rate, s.Runs, s.Waste, 100*float64(s.Waste)/float64(max(s.Runs, 1)),
+			s.Flood.Waited, s.Unknown, s.Rate, s.Runs, s.Waste, 100*float64(s.Waste)/float64(max(s.Runs, 1)),
 			s.ElsewhereKept, s.ElsewhereDemand, s.recoveryText())
 	}
 }
