Free the slot of a request that missed its deadline when its answer comes

Cause: an attempt was cut off at its deadline, and its slot was kept out of use for maxRun (30 s by default). Under a flood, requests are dispatched with little more than the mean run time left, so some miss their deadlines by a few milliseconds, hedges that lost included. Each took one of 16 slots for 30 s, and the flooded pool shrank.

Change: the caller still gets its refusal (may have run) at the deadline, and the attempt stops counting as in flight, but its connection is kept until the answer, at most until maxRun after the deadline. The answer frees the slot. Without an answer the slot is free at the same time as before. A request of which no byte was written by the deadline still ends as not run.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -45,37 +45,87 @@
 	return r
 }
 
-// send makes one attempt. stale means that a reused connection was closed before a byte was written; the lease is then
-// still held.
+// exchanged is the end of one attempt.
+type exchanged struct {
+	result
+	stale bool
+}
+
+// send makes one attempt and returns at its end or at the deadline, the end of ctx. A request that was written by then
+// keeps its connection, because its answer tells when the slot is free. Without it the slot would be out of use for
+// maxRun, and a flood of requests that miss their deadlines by little would take the slots one by one. stale means that
+// a reused connection was closed before a byte was written; the lease is then still held.
 func (s *service) send(ctx context.Context, rq *request, l *lease, fresh bool, current func(*attempt)) (result, bool) {
+	waitCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), rq.deadline.Add(s.maxRun()))
+	a := &attempt{deadline: rq.deadline, clock: s.h.cfg.Clock, cancel: cancel}
+	current(a)
+	done := make(chan exchanged, 1)
+	go func() { done <- s.exchange(ctx, waitCtx, rq, l, fresh, a) }()
+	select {
+	case x := <-done:
+		if x.answer != nil && x.answer.rest != nil {
+			// A streamed answer ends with the deadline.
+			context.AfterFunc(ctx, cancel)
+		}
+		return x.result, x.stale
+	case <-ctx.Done():
+	}
+	if a.seal() {
+		cancel()
+		x := <-done
+		return x.result, x.stale
+	}
+	l.abandon()
+	if a.silent() {
+		s.h.conns.closeIdle(a.writer.Load())
+	}
+	go s.awaitLate(a, done)
+	return result{err: verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, http.StatusGatewayTimeout,
+		"no complete answer before the deadline")}, false
+}
+
+// awaitLate waits for the end of an attempt whose deadline has passed, at most until the service is closed.
+func (s *service) awaitLate(a *attempt, done <-chan exchanged) {
+	var x exchanged
+	select {
+	case x = <-done:
+	case <-s.ctx.Done():
+		a.cancel()
+		x = <-done
+	}
+	if x.answer != nil {
+		x.answer.discard()
+	}
+}
+
+// exchange sends the request and receives its answer. deadlineCtx ends at the deadline, ctx when the answer is no longer
+// waited for.
+func (s *service) exchange(deadlineCtx, ctx context.Context, rq *request, l *lease, fresh bool, a *attempt) exchanged {
 	ctx, span := s.h.tracer.Start(ctx, "entry attempt", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("berylwharf.vm", l.vm), attribute.String("server.address", l.addr))
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{deadline: rq.deadline, clock: s.h.cfg.Clock, cancel: cancel}
-	current(a)
 	began := s.h.now()
 	out := rq.outgoing(httptrace.WithClientTrace(ctx, a.trace()), l.addr)
 	resp, err := s.transport(rq, fresh).RoundTrip(out) //nolint:bodyclose // closed below or by answer.done
 	if err != nil {
-		defer cancel()
+		defer a.cancel()
 		unwritten := a.seal()
-		if unwritten && a.reused.Load() && !fresh && ctx.Err() == nil {
-			return result{}, true
+		if unwritten && a.reused.Load() && !fresh && deadlineCtx.Err() == nil {
+			return exchanged{stale: true}
 		}
 		span.SetStatus(codes.Error, "no answer")
-		return s.failed(ctx, l, a, err, unwritten), false
+		return exchanged{result: s.failed(deadlineCtx, l, a, err, unwritten)}
 	}
 	ans, err := s.receive(rq, resp)
 	if err != nil {
-		defer cancel()
+		defer a.cancel()
 		a.abort()
 		// The connection is already closed.
 		_ = resp.Body.Close()
 		span.SetStatus(codes.Error, "no complete answer")
-		return s.failed(ctx, l, a, err, false), false
+		return exchanged{result: s.failed(deadlineCtx, l, a, err, false)}
 	}
 	outcome := routing.OutcomeOK
 	if ans.status >= http.StatusInternalServerError {
@@ -87,15 +137,15 @@
 			s.completed(began)
 		} else {
 			a.abort()
-			l.end(routing.OutcomeFailed, s.maxRun())
+			l.end(routing.OutcomeFailed, s.quarantine(a))
 		}
 		_ = resp.Body.Close()
-		cancel()
+		a.cancel()
 	}
 	if ans.rest == nil {
 		ans.done(true)
 	}
-	return result{answer: ans}, false
+	return exchanged{result: result{answer: ans}}
 }
 
 // abort closes the connection, so that nothing that still arrives on it can reach another request.
@@ -115,6 +165,12 @@
 	return time.Duration(s.spec.Load().MaxRunMs) * time.Millisecond
 }
 
+// quarantine returns how long a run without a complete answer may still take. A run starts before the deadline.
+func (s *service) quarantine(a *attempt) time.Duration {
+	longest := s.maxRun()
+	return min(longest, max(0, a.deadline.Add(longest).Sub(s.h.now())))
+}
+
 func (s *service) completed(began time.Time) {
 	now := s.h.now()
 	d := now.Sub(began)
@@ -147,10 +203,7 @@
 		e.Cause = err
 		return result{err: e}
 	}
-	if late && a.silent() {
-		s.h.conns.closeIdle(a.writer.Load())
-	}
-	l.end(outcome, s.maxRun())
+	l.end(outcome, s.quarantine(a))
 	var e *verdict.Error
 	switch {
 	case late:
--- a/entry/service.go
+++ b/entry/service.go
@@ -48,7 +48,8 @@
 	server *routing.Server
 	vm     string
 	addr   string
-	once   sync.Once
+	once   sync.Once // guards the counts
+	slot   sync.Once // guards the slot
 }
 
 // ticket is a request that waits for a slot.
@@ -177,15 +178,28 @@
 
 // end gives the slot back. Only the first call counts.
 func (l *lease) end(o routing.Outcome, quarantine time.Duration) {
+	l.settle(o, func() { l.giveBack(quarantine) })
+	l.giveBack(quarantine)
+}
+
+// abandon ends the attempt at its deadline. The slot stays in use until end is called.
+func (l *lease) abandon() { l.settle(routing.OutcomeTimeout, func() {}) }
+
+// settle counts the end of the attempt once. free runs before the attempt stops counting as in flight.
+func (l *lease) settle(o routing.Outcome, free func()) {
 	l.once.Do(func() {
 		l.s.mu.Lock()
 		l.s.set.Done(l.s.h.now(), l.server, o)
 		l.s.mu.Unlock()
-		l.s.h.cfg.Slots.Return(l.vm, quarantine)
+		free()
 		l.s.h.flight.add(l.vm, -1)
 	})
 }
 
+func (l *lease) giveBack(quarantine time.Duration) {
+	l.slot.Do(func() { l.s.h.cfg.Slots.Return(l.vm, quarantine) })
+}
+
 func deliver(refused []admission.Refusal) {
 	for _, r := range refused {
 		r.Request.Ref.(*ticket).result <- grant{err: r.Err}
