Report the recovery of customers that do not flood by itself

The recovery time included the flooding customer's own work, which waits behind what is left of its flood, so that it did not tell how long a flood harms others. The report now gives both times.

--- a/flood/report.go
+++ b/flood/report.go
@@ -82,8 +82,8 @@
 	// ElsewhereDemand and ElsewhereKept count the work at the other services in the window.
 	ElsewhereDemand, ElsewhereKept int
 	// Recovery is the time from the end of the flood to the last request that failed though it was answered in time
-	// without flood.
-	Recovery time.Duration
+	// without flood. RecoveryOthers leaves out the customers that flood.
+	Recovery, RecoveryOthers time.Duration
 	// FalseNotRun, Doubled, Lost and Swapped count broken promises; see load.Counts.
 	FalseNotRun, Doubled, Lost, Swapped int
 }
@@ -204,7 +204,8 @@
 	m.Rate = float64(answers) / (s.Scenario.To - s.Scenario.From).Seconds() / Capacity
 	s.elsewhere(&m)
 	if base != nil {
-		m.Recovery = s.recovery(base)
+		m.Recovery = s.recovery(base, func(string) bool { return true })
+		m.RecoveryOthers = s.recovery(base, func(customer string) bool { return !s.Scenario.floods(customer) })
 	}
 	c := load.Check(&load.Result{Outcomes: all}, s.Runs).Totals
 	m.FalseNotRun, m.Doubled, m.Lost, m.Swapped = c.FalseNotRun, c.Doubled, c.Lost, c.Swapped
@@ -224,11 +225,11 @@
 	}
 }
 
-func (s *Sample) recovery(base *Sample) time.Duration {
+func (s *Sample) recovery(base *Sample, of func(customer string) bool) time.Duration {
 	last := time.Duration(0)
 	for i := range s.Work.Outcomes {
 		o := &s.Work.Outcomes[i]
-		if flooded(o.Event) && at(o.Event) >= floodTo && !inTime(o) && inTime(&base.Work.Outcomes[i]) {
+		if of(o.Event.Customer) && flooded(o.Event) && at(o.Event) >= floodTo && !inTime(o) && inTime(&base.Work.Outcomes[i]) {
 			last = max(last, at(o.Event)-floodTo)
 		}
 	}
--- a/flood/report_test.go
+++ b/flood/report_test.go
@@ -44,12 +44,14 @@
 		outcome(5000, Host, answered, 90*ms, false), outcome(5100, Host, answered, 90*ms, false),
 		outcome(5200, Host, answered, 90*ms, false), outcome(5300, Kiosks, answered, 90*ms, false),
 		outcome(10500, Host, answered, 90*ms, false), outcome(11000, Host, notRun, 5*ms, false),
+		outcome(10600, Growers, answered, 90*ms, false),
 	}
 	flooded := []load.Outcome{
 		outcome(1000, Host, notRun, 5*ms, false),
 		outcome(5000, Host, answered, 100*ms, false), outcome(5100, Host, answered, 1200*ms, true),
 		outcome(5200, Host, notRun, 500*ms, false), outcome(5300, Kiosks, answered, 200*ms, false),
 		outcome(10500, Host, notRun, 5*ms, false), outcome(11000, Host, notRun, 5*ms, false),
+		outcome(10600, Growers, notRun, 5*ms, false),
 	}
 	flood := []load.Outcome{
 		outcome(4600, Growers, answered, 90*ms, false), outcome(4700, Growers, notRun, 5*ms, false),
@@ -69,7 +71,7 @@
 		t.Errorf("latencies %f and %f", row.P50, row.P999)
 	}
 	s := r.Summaries[1]
-	if s.Flood != (Ends{InTime: 1, AtOnce: 1, Unknown: 1}) || s.Waste != 2 || s.Recovery != 300*ms {
+	if s.Flood != (Ends{InTime: 1, AtOnce: 1, Unknown: 1}) || s.Waste != 2 || s.Recovery != 400*ms || s.RecoveryOthers != 300*ms {
 		t.Errorf("summary %+v", s)
 	}
 	met := map[string]bool{}
--- a/flood/table.go
+++ b/flood/table.go
@@ -71,8 +71,8 @@
 func (r *Report) writeSummaries(b *bytes.Buffer) {
 	b.WriteString("\n### Whole runs\n\n" +
 		"| Scenario | Policy | Flood sent | × capacity | Sent late | Answered | Refused at once | Refused late | " +
-		"May have run (all) | Rate/capacity | Runs | Waste | Other services kept | Recovery s |\n" +
-		"|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
+		"May have run (all) | Rate/capacity | Runs | Waste | Other services kept | Recovery, others s | Recovery, all s |\n" +
+		"|---|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
 	for _, s := range r.Summaries {
 		fmt.Fprintf(b, "| %s | %s | %d | %.1f | %d | %d | %d | %d | %d | %.2f | %d | %d (%.1f%%) | %d of %d | %s |\n",
 			s.Scenario, s.Policy, s.Flood.Total(), s.FloodFactor, s.FloodDelayed+s.WorkDelay, s.Flood.InTime, s.Flood.AtOnce,
@@ -83,7 +83,7 @@
 
 func (s Summary) recoveryText() string {
 	if s.Flood.Total() == 0 {
-		return "-"
+		return "- | -"
 	}
-	return fmt.Sprintf("%.2f", s.Recovery.Seconds())
+	return fmt.Sprintf("%.2f | %.2f", s.RecoveryOthers.Seconds(), s.Recovery.Seconds())
 }
