Probe at most 4 workers a second from one node; measure loading apart from readiness

Cause: with 6 probes a second, a node spent 1,296 B/s on probes alone; heartbeats, the log and changes need about 1.5 KB/s of the 2 KB/s at 9 nodes. Change: maxProbeRate 4; berylwharf-capacity reports the time to load the state, not the 4 s for which a starting node waits for a stable membership.

--- a/cmd/berylwharf-capacity/measure.go
+++ b/cmd/berylwharf-capacity/measure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -118,7 +119,11 @@
 	return publish(ctx, log, declarations(workers))
 }
 
-// startDaemon starts a daemon with empty memory and returns the time until it has loaded the state and its routes.
+// notLoaded are the reasons of /readyz while a node still loads its state.
+var notLoaded = []string{"the state is not loaded yet", "no VM list yet"}
+
+// startDaemon starts a daemon with empty memory, waits until it is ready, and returns the time until it had loaded the
+// state and made its routes. What it waits for after that does not depend on the size of the fleet.
 func (b *bench) startDaemon(bin string, i int) (time.Duration, error) {
 	d := &daemon{operators: fmt.Sprintf("127.0.0.1:%d", freePort()), admin: fmt.Sprintf("127.0.0.1:%d", freePort())}
 	settings := fmt.Sprintf(`{"node": "entry-%d", "vm": "entry-%d", "zone": "zone-00", "region": "region-1",
@@ -137,18 +142,34 @@
 		return 0, err
 	}
 	b.daemons = append(b.daemons, d)
+	loaded := time.Duration(0)
 	for time.Since(started) < startLimit {
-		if resp, err := http.Get("http://" + d.admin + "/readyz"); err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return time.Since(started), nil
-			}
+		status, reason := readiness(d.admin)
+		if status != 0 && loaded == 0 && !slices.Contains(notLoaded, reason) {
+			loaded = time.Since(started)
+		}
+		if status == http.StatusOK {
+			return loaded, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	return 0, errors.Errorf("daemon %d was not ready within %s", i, startLimit)
 }
 
+// readiness returns the status of /readyz and its text, status 0 while nobody listens.
+func readiness(admin string) (status int, reason string) {
+	resp, err := http.Get("http://" + admin + "/readyz")
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, strings.TrimSpace(string(body))
+}
+
 type usage struct {
 	cpu                    time.Duration // of the second daemon
 	platform, list, probes int64         // bytes of all daemons
--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -18,8 +18,8 @@
 	// minProbePeriod is the time between two probes of a worker when the node has few workers to probe.
 	minProbePeriod = time.Second
 	// maxProbeRate bounds the probes a second of one node. A probe costs 216 bytes on the wire, and a node may spend 2 KB/s
-	// on control. 50 workers shared by three nodes are still probed each 2.8 s.
-	maxProbeRate = 6
+	// on control. 50 workers shared by 8 nodes are probed each 1.6 s, shared by 5 nodes each 2.5 s.
+	maxProbeRate = 4
 	probeTimeout = 800 * time.Millisecond
 )
 
