Keep what daemons write apart from what operators apply

Cause: the last wave of a VM and the stop reason of a wave were fields of the resources that operators apply, so that applying a file again restarted maintenance of each VM and resumed a stopped wave. Change: kinds vm-status and wave-status; resume records the version of the stop that the operator saw, and failures before it no longer count.

--- a/command/fleet.go
+++ b/command/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"text/tabwriter"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
 	"github.com/berylwharf/berylwharf/operator"
@@ -70,14 +72,52 @@
 	if err != nil {
 		return err
 	}
+	if !paused {
+		if err := clearStop(ctx, s, key.Name); err != nil {
+			return err
+		}
+	}
 	return changeSpec(ctx, s, key, func(spec resource.Spec) bool {
 		w := spec.(*resource.Wave)
-		changed := w.Paused != paused || w.StopReason != ""
-		w.Paused, w.StopReason = paused, ""
+		changed := w.Paused != paused
+		w.Paused = paused
 		return changed
 	})
 }
 
+// clearStop lets a wave that stopped by itself go on.
+func clearStop(ctx context.Context, s *session, wave string) error {
+	key := resource.Key{Kind: resource.KindWaveStatus, Name: wave}
+	current, err := s.client.Get(ctx, key)
+	var e *operator.Error
+	if errors.As(err, &e) && e.Code == operator.CodeNotFound {
+		return nil
+	}
+	if err != nil {
+		return beforeChange(err)
+	}
+	spec, err := resource.Decode(key, current.Spec)
+	if err != nil {
+		return err
+	}
+	if spec.(*resource.WaveStatus).StopReason == "" {
+		return nil
+	}
+	author, err := s.author()
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(resource.WaveStatus{ResumedAt: current.Version})
+	if err != nil {
+		return errors.Wrap(err, "encode spec")
+	}
+	answer, err := s.put(ctx, key, current.Version, author, data)
+	if err == nil && !s.json() {
+		s.printResult(result{Kind: key.Kind, Name: key.Name, Result: resultChanged, Version: answer.Offset})
+	}
+	return err
+}
+
 // keyOfKind returns the resource that the arguments name, which must be of one kind.
 func keyOfKind(s *session, kind resource.Kind) (resource.Key, error) {
 	key, err := keyArgument(s.Context)
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -88,38 +89,42 @@
 	return vm
 }
 
-// observeWave collects the results of a wave from its VMs, in the order in which they ended. A failure that is older than
-// the last change of the wave does not count again: an operator who resumes the wave has seen it.
+// observeWave collects the results of a wave from the statuses of its VMs, in the order in which they ended.
 func observeWave(v *statelog.View, r *resource.Resource, spec *resource.Wave) planner.Wave {
 	w := planner.Wave{
 		Name: r.Name, Pool: spec.Pool, Order: spec.Order, FirstGroup: spec.FirstGroup, MaxParallel: spec.MaxParallel,
-		Paused: spec.Paused, Stopped: spec.StopReason,
+		Paused: spec.Paused,
 	}
+	status := waveStatus(v, r.Name)
+	w.Stopped = status.StopReason
 	type ended struct {
 		version uint64
 		result  planner.Result
 	}
 	var results []ended
-	v.Each(resource.KindVM, func(vm *resource.Resource, s resource.Spec) bool {
-		spec := s.(*resource.VM)
+	v.Each(resource.KindVMStatus, func(vm *resource.Resource, s resource.Spec) bool {
+		spec := s.(*resource.VMStatus)
 		if spec.LastWave == r.Name {
-			failed := spec.LastFailed && vm.Version > r.Version
+			failed := spec.LastFailed && vm.Version > status.ResumedAt
 			results = append(results, ended{vm.Version, planner.Result{VM: vm.Name, Failed: failed}})
 		}
 		return true
 	})
-	slices.SortFunc(results, func(a, b ended) int {
-		if a.version < b.version {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(results, func(a, b ended) int { return cmp.Compare(a.version, b.version) })
 	for _, e := range results {
 		w.Finished = append(w.Finished, e.result)
 	}
 	return w
 }
 
+// waveStatus returns the status of a wave, an empty one when there is none.
+func waveStatus(v *statelog.View, wave string) *resource.WaveStatus {
+	if s, ok := v.Spec(resource.Key{Kind: resource.KindWaveStatus, Name: wave}).(*resource.WaveStatus); ok {
+		return s
+	}
+	return &resource.WaveStatus{}
+}
+
 // deadlines returns the deadlines of maintenance with the operators' overrides. A value that is not a duration is passed
 // over.
 func deadlines(v *statelog.View) planner.Deadlines {
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -37,8 +37,17 @@
 }
 
 func (c *cluster) vm(name string) *resource.VM {
-	spec, _ := c.nodes["n0"].follower.View().Spec(vmResource(name)).(*resource.VM)
-	return spec
+	return c.nodes["n0"].follower.View().Spec(vmResource(name)).(*resource.VM)
+}
+
+// lastWave returns the last wave that a VM has passed, or "".
+func (c *cluster) lastWave(vm string) string {
+	key := resource.Key{Kind: resource.KindVMStatus, Name: vm}
+	spec, ok := c.nodes["n0"].follower.View().Spec(key).(*resource.VMStatus)
+	if !ok {
+		return ""
+	}
+	return spec.LastWave
 }
 
 // sendAll sends requests through all nodes until stop is closed and counts those without an answer.
@@ -74,7 +83,7 @@
 		v := c.nodes["n0"].follower.View()
 		most = max(most, len(activeVMs(v)))
 		for vm := range c.backends {
-			if c.vm(vm).LastWave != "october" {
+			if c.lastWave(vm) != "october" {
 				return false
 			}
 		}
@@ -99,18 +108,22 @@
 	}})
 	first := "w1"
 	c.must(resource.KindWave, "october", resource.Wave{Pool: "p", Order: []string{first}})
-	key := resource.Key{Kind: resource.KindWave, Name: "october"}
-	wave := func() *resource.Wave { return c.nodes["n0"].follower.View().Spec(key).(*resource.Wave) }
+	key := resource.Key{Kind: resource.KindWaveStatus, Name: "october"}
+	stopReason := func() string { return waveStatus(c.nodes["n0"].follower.View(), "october").StopReason }
 	c.eventually("the first VM is out of service", func() bool { return len(activeVMs(c.nodes["n0"].follower.View())) == 1 })
 	if err := c.backends[first].Inject(backend.Fault{Kind: backend.FaultLeave}); err != nil {
 		t.Fatal(err)
 	}
-	c.eventually("the wave stopped", func() bool { return wave().Paused })
-	if !strings.Contains(wave().StopReason, first) {
-		t.Fatalf("reason %q does not name %s", wave().StopReason, first)
+	c.eventually("the wave stopped", func() bool { return stopReason() != "" })
+	if !strings.Contains(stopReason(), first) {
+		t.Fatalf("reason %q does not name %s", stopReason(), first)
+	}
+	c.must(resource.KindWave, "october", resource.Wave{Pool: "p", Order: []string{first}, MaxParallel: 2})
+	if stopReason() == "" {
+		t.Fatal("a change of the wave resumed it")
 	}
 	for _, vm := range []string{"w0", "w2"} {
-		if c.vm(vm).LastWave != "" {
+		if c.lastWave(vm) != "" {
 			t.Fatalf("%s passed a stopped wave", vm)
 		}
 	}
@@ -118,9 +131,9 @@
 		t.Fatal(err)
 	}
 	c.must(resource.KindConfig, maintenanceConfig, resource.Config{Values: map[string]string{"healthProof": "200ms", "reboot": "60s"}})
-	c.must(resource.KindWave, "october", resource.Wave{Pool: "p", Order: []string{first}})
+	c.must(resource.KindWaveStatus, "october", resource.WaveStatus{ResumedAt: c.version("n0", key)})
 	c.eventually("the resumed wave reached all VMs", func() bool {
-		return c.vm("w0").LastWave == "october" && c.vm("w2").LastWave == "october"
+		return c.lastWave("w0") == "october" && c.lastWave("w2") == "october"
 	})
 }
 
--- a/daemon/maintain.go
+++ b/daemon/maintain.go
@@ -168,11 +168,9 @@
 // that is still out of service, never one that is in service without its result.
 func (m *maintainer) carryOut(ctx context.Context, v *statelog.View, pool string, steps []planner.Step) error {
 	key := resource.Key{Kind: resource.KindMaintenance, Name: pool}
-	current := &resource.Maintenance{}
-	base := uint64(0)
-	if r := v.Get(key); r != nil {
-		base = r.Version
-		current = v.Spec(key).(*resource.Maintenance)
+	current, ok := v.Spec(key).(*resource.Maintenance)
+	if !ok {
+		current = &resource.Maintenance{}
 	}
 	next := &resource.Maintenance{Active: slices.Clone(current.Active)}
 	for _, s := range steps {
@@ -189,7 +187,7 @@
 	if slices.Equal(next.Active, current.Active) {
 		return nil
 	}
-	return m.propose(ctx, key, base, next)
+	return m.put(ctx, v, key, next)
 }
 
 func waveSuffix(wave string) string {
@@ -235,33 +233,34 @@
 	}
 }
 
-// record writes what a step changes outside of the maintenance resource: the result of a VM, its new pool, or a stopped
-// wave.
+// record writes what a step changes outside of the maintenance resource: the result of a VM, its new pool, or the status
+// of a stopped wave.
 func (m *maintainer) record(ctx context.Context, v *statelog.View, s planner.Step) error {
-	if s.Kind == planner.StepStopWave {
-		key := resource.Key{Kind: resource.KindWave, Name: s.Wave}
-		wave := *v.Spec(key).(*resource.Wave)
-		wave.Paused, wave.StopReason = true, s.Reason
-		return m.propose(ctx, key, v.Get(key).Version, &wave)
-	}
-	key := vmResource(s.VM)
-	vm := *v.Spec(key).(*resource.VM)
 	switch s.Kind {
-	case planner.StepReturn:
-		vm.LastWave, vm.LastFailed = s.Wave, false
-	case planner.StepGiveUp:
-		vm.LastWave, vm.LastFailed = s.Wave, true
-	case planner.StepCancel:
-		if s.Wave == "" {
-			return nil
-		}
-		vm.LastWave, vm.LastFailed = s.Wave, true
+	case planner.StepStopWave:
+		status := &resource.WaveStatus{StopReason: s.Reason, ResumedAt: waveStatus(v, s.Wave).ResumedAt}
+		return m.put(ctx, v, resource.Key{Kind: resource.KindWaveStatus, Name: s.Wave}, status)
 	case planner.StepAssign:
+		vm := *v.Spec(vmResource(s.VM)).(*resource.VM)
 		vm.Pool, vm.Next = vm.Next, ""
-	default:
-		return nil
+		return m.put(ctx, v, vmResource(s.VM), &vm)
+	case planner.StepReturn, planner.StepGiveUp, planner.StepCancel:
+		if s.Wave == "" {
+			return nil // a withdrawn move
+		}
+		status := &resource.VMStatus{LastWave: s.Wave, LastFailed: s.Kind != planner.StepReturn}
+		return m.put(ctx, v, resource.Key{Kind: resource.KindVMStatus, Name: s.VM}, status)
+	}
+	return nil
+}
+
+// put proposes a spec on the version in a view.
+func (m *maintainer) put(ctx context.Context, v *statelog.View, key resource.Key, spec resource.Spec) error {
+	base := uint64(0)
+	if r := v.Get(key); r != nil {
+		base = r.Version
 	}
-	return m.propose(ctx, key, v.Get(key).Version, &vm)
+	return m.propose(ctx, key, base, spec)
 }
 
 func (m *maintainer) propose(ctx context.Context, key resource.Key, base uint64, spec resource.Spec) error {
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -24,14 +24,17 @@
 	KindWave     Kind = "wave"
 	KindConfig   Kind = "config"
 	KindVM       Kind = "vm"
-	// KindMaintenance is written by the daemons; see Maintenance.
+	// The daemons write the following kinds; see Maintenance, VMStatus and WaveStatus.
 	KindMaintenance Kind = "maintenance"
+	KindVMStatus    Kind = "vm-status"
+	KindWaveStatus  Kind = "wave-status"
 )
 
 // Kinds returns all kinds in the order in which a set of resources is applied: a resource comes after those that it
 // names.
 func Kinds() []Kind {
-	return []Kind{KindConfig, KindPool, KindCustomer, KindService, KindVM, KindWave, KindMaintenance}
+	return []Kind{KindConfig, KindPool, KindCustomer, KindService, KindVM, KindWave, KindMaintenance,
+		KindVMStatus, KindWaveStatus}
 }
 
 const (
@@ -120,6 +123,8 @@
 	KindVM:       func() Spec { return new(VM) },
 
 	KindMaintenance: func() Spec { return new(Maintenance) },
+	KindVMStatus:    func() Spec { return new(VMStatus) },
+	KindWaveStatus:  func() Spec { return new(WaveStatus) },
 }
 
 // Decode parses and validates a spec. Unknown fields, fields that appear twice, trailing data, values out of range and a
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -156,6 +156,10 @@
 			m.Active = append(m.Active, ActiveVM{VM: vm, Wave: "w", Phase: PhaseDraining, SinceMs: rapid.Int64().Draw(t, "since")})
 		}
 		spec = m
+	case KindVMStatus:
+		spec = &VMStatus{LastWave: name.Draw(t, "wave"), LastFailed: rapid.Bool().Draw(t, "failed")}
+	case KindWaveStatus:
+		spec = &WaveStatus{StopReason: text.Draw(t, "reason"), ResumedAt: rapid.Uint64().Draw(t, "resumedAt")}
 	}
 	data, err := json.Marshal(spec)
 	if err != nil {
--- a/resource/specs.go
+++ b/resource/specs.go
@@ -191,8 +191,6 @@
 	// MaxParallel bounds the VMs in maintenance at once.
 	MaxParallel int  `json:"maxParallel,omitempty"`
 	Paused      bool `json:"paused,omitempty"`
-	// StopReason is set together with Paused when the wave stopped by itself.
-	StopReason string `json:"stopReason,omitempty"`
 }
 
 // SetDefaults implements Spec.
@@ -218,9 +216,6 @@
 			return fieldErrorf("order", "%q is not a VM name", vm)
 		}
 	}
-	if len(w.StopReason) > maxDescription {
-		return fieldErrorf("stopReason", "at most %d bytes are permitted", maxDescription)
-	}
 	if err := between("firstGroup", w.FirstGroup, 1, 10_000); err != nil {
 		return err
 	}
@@ -252,9 +247,6 @@
 	Next string `json:"next,omitempty"`
 	// Drain stops new work on the VM.
 	Drain bool `json:"drain,omitempty"`
-	// LastWave is the last maintenance wave that the VM has passed, LastFailed whether it failed in it.
-	LastWave   string `json:"lastWave,omitempty"`
-	LastFailed bool   `json:"lastFailed,omitempty"`
 }
 
 // SetDefaults implements Spec.
@@ -268,9 +260,6 @@
 	if v.Next != "" && !namePattern.MatchString(v.Next) {
 		return fieldErrorf("next", "%q is not a pool name", v.Next)
 	}
-	if v.LastWave != "" && !namePattern.MatchString(v.LastWave) {
-		return fieldErrorf("lastWave", "%q is not a wave name", v.LastWave)
-	}
 	return nil
 }
 
