Give back all slots on Close; load the state without waiting for new records

Cause: requests that missed their deadline now wait for a late answer in the background, and Handler.Close returned before their slots were back: 11 to 30 of 10,000 fault schedules ended with a slot held. And a starting node waited 2 s in its first long poll although the state was complete. Ruled out: a slot lost for good; each came back a moment after Close. Change: Close waits for these attempts, and the daemon closes the handler before it leaves the members; the first reads of the follower do not wait.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -280,7 +280,6 @@
 	d.shutDown(servers, func() { stopCoord(); <-coordDone })
 	stopParts()
 	parts.Wait()
-	d.entry.Close()
 	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
 		return cause
 	}
@@ -343,6 +342,8 @@
 	if err := s.callers.Shutdown(ctx); err != nil {
 		d.log.Warnf("daemon: callers' connections are still open: %v", err)
 	}
+	// Requests that missed their deadlines may still hold slots. Closing gives these back, so that the node can leave.
+	d.entry.Close()
 	leave()
 	close(d.closing)
 	ctx, cancel = context.WithTimeout(context.Background(), serverShutdown)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -79,7 +79,7 @@
 	if a.silent() {
 		s.h.conns.closeIdle(a.writer.Load())
 	}
-	go s.awaitLate(a, done)
+	s.h.late.Go(func() { s.awaitLate(a, done) })
 	return result{err: verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, http.StatusGatewayTimeout,
 		"no complete answer before the deadline")}, false
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -24,6 +24,7 @@
 
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
+	late     sync.WaitGroup // attempts whose deadline has passed
 	cfg      Config
 	log      logrus.FieldLogger
 	tracer   trace.Tracer
@@ -135,8 +136,14 @@
 	return errors.Wrap(h.flight.drain(ctx), "entry: drain")
 }
 
-// Close stops the goroutines and closes idle connections. It is called after Drain.
+// Close ends the services. When it returns, all slots have been given back, those of requests that missed their deadlines
+// included. Call Drain first.
 func (h *Handler) Close() {
+	h.closeServices()
+	h.late.Wait()
+}
+
+func (h *Handler) closeServices() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if old := h.table.Swap(nil); old != nil {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -173,7 +173,12 @@
 		})
 	}
 	from := f.next()
-	resp, err := f.cfg.Log.Read(ctx, statelog.StreamConfig, from, batch, f.cfg.PollWait)
+	wait := f.cfg.PollWait
+	if !f.Status().Loaded {
+		// The first read only has to tell that the state is complete. On a quiet log it would wait for nothing.
+		wait = 0
+	}
+	resp, err := f.cfg.Log.Read(ctx, statelog.StreamConfig, from, batch, wait)
 	if err != nil {
 		return 0, err
 	}
