--- a/cmd/berylwharf-demo/demo.go
+++ b/cmd/berylwharf-demo/demo.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,6 +51,7 @@
 	rate     float64
 	duration time.Duration
 	seed     uint64
+	fault    string
 	began    time.Time
 
 	platform     string            // address
@@ -314,6 +316,9 @@
 		return ctx.Err()
 	}
 	victim := d.daemonProcs[killedDaemon]
+	if d.fault == faultPause {
+		return d.pauseDaemon(ctx, victim)
+	}
 	d.say("killing %s with SIGKILL", victim.name)
 	victim.kill()
 	if !pause(ctx, goneDelay) {
@@ -323,6 +328,26 @@
 	return d.unlist(ctx, victim.name)
 }
 
+// Faults of a daemon during the load.
+const (
+	faultKill  = "kill"
+	faultPause = "pause"
+	// pauseTime is longer than all timeouts between nodes and than the requests' deadlines, so that the daemon wakes up to
+	// requests whose callers have repeated them elsewhere.
+	pauseTime = 6 * time.Second
+)
+
+// pauseDaemon stops a daemon with SIGSTOP and lets it go on later. The platform goes on listing its VM.
+func (d *demo) pauseDaemon(ctx context.Context, victim *proc) error {
+	d.say("pausing %s with SIGSTOP for %s", victim.name, pauseTime)
+	if err := victim.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	pause(ctx, pauseTime)
+	d.say("continuing %s", victim.name)
+	return victim.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // unlist removes a VM from the platform's VM list and keeps the other entries as they are.
 func (d *demo) unlist(ctx context.Context, name string) error {
 	url := "http://" + d.platform + "/standin/vms"
--- a/cmd/berylwharf-demo/main.go
+++ b/cmd/berylwharf-demo/main.go
@@ -32,6 +32,7 @@
 			&cli.StringFlag{Name: "bin", Usage: "directory of the built programs", Required: true},
 			&cli.Float64Flag{Name: "rate", Value: 300, Usage: "requests per second"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "length of the load, 10s to 20s"},
+			&cli.StringFlag{Name: "fault", Value: faultKill, Usage: "what happens to a daemon: kill (SIGKILL) or pause (SIGSTOP for 6 s)"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
 		},
 		Action: run,
@@ -47,6 +48,9 @@
 	if duration < 10*time.Second || duration > 20*time.Second {
 		return fmt.Errorf("duration: %s (permitted: 10s to 20s)", duration)
 	}
+	if f := c.String("fault"); f != faultKill && f != faultPause {
+		return fmt.Errorf("fault: %q (permitted: kill, pause)", f)
+	}
 	dir, err := os.MkdirTemp("", "berylwharf-demo-")
 	if err != nil {
 		return err
@@ -57,7 +61,7 @@
 	defer cancelLimit()
 	d := &demo{
 		procs: &procs{dir: dir, bin: c.String("bin")}, dir: dir,
-		rate: c.Float64("rate"), duration: duration, seed: c.Uint64("seed"), began: time.Now(),
+		rate: c.Float64("rate"), duration: duration, seed: c.Uint64("seed"), fault: c.String("fault"), began: time.Now(),
 	}
 	defer func() {
 		err = d.cleanUp(err)
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -42,12 +42,14 @@
 	restarted func(vm string, since time.Time) bool
 }
 
-// observeFleet joins the declared state with what this node sees.
-func observeFleet(v *statelog.View, o observation) *planner.Fleet {
+// observeFleet joins the declared state with what this node sees, for the pools that keep selects.
+func observeFleet(v *statelog.View, o observation, keep func(pool string) bool) *planner.Fleet {
 	f := &planner.Fleet{}
 	active := activeVMs(v)
 	v.Each(resource.KindVM, func(r *resource.Resource, spec resource.Spec) bool {
-		f.VMs = append(f.VMs, observeVM(r.Name, spec.(*resource.VM), active, o))
+		if vm := spec.(*resource.VM); keep(vm.Pool) {
+			f.VMs = append(f.VMs, observeVM(r.Name, vm, active, o))
+		}
 		return true
 	})
 	v.Each(resource.KindPool, func(r *resource.Resource, spec resource.Spec) bool {
@@ -61,7 +63,9 @@
 		return true
 	})
 	v.Each(resource.KindWave, func(r *resource.Resource, spec resource.Spec) bool {
-		f.Waves = append(f.Waves, observeWave(v, r, spec.(*resource.Wave)))
+		if w := spec.(*resource.Wave); keep(w.Pool) {
+			f.Waves = append(f.Waves, observeWave(v, r, w))
+		}
 		return true
 	})
 	return f
--- a/daemon/maintain.go
+++ b/daemon/maintain.go
@@ -76,7 +76,7 @@
 }
 
 // observe returns the fleet as this node sees it. Idleness is asked from the platform and is therefore optional.
-func (m *maintainer) observe(ctx context.Context, v *statelog.View) *planner.Fleet {
+func (m *maintainer) observe(ctx context.Context, v *statelog.View, keep func(pool string) bool) *planner.Fleet {
 	list, _ := m.d.poller.List()
 	listed := make(map[string]platform.VM, len(list.VMs))
 	for _, vm := range list.VMs {
@@ -87,7 +87,7 @@
 		probe:     m.d.prober.result,
 		idle:      func(vm string) bool { return m.idle(ctx, v, vm) },
 		restarted: m.restarted,
-	})
+	}, keep)
 }
 
 // idle tells whether all members have applied the newest change of the pool's maintenance without a request left on the
@@ -109,12 +109,11 @@
 func (m *maintainer) round(ctx context.Context) {
 	v := m.d.follower.View()
 	m.repeatRequests(ctx, v)
-	plan := planner.Compute(m.observe(ctx, v), deadlines(v), time.Now())
+	plan := planner.Compute(m.observe(ctx, v, m.homedPools(v)), deadlines(v), time.Now())
 	pools := make(map[string][]planner.Step)
 	for _, s := range plan.Steps {
-		if pool := poolOfStep(v, s); m.d.coord.Homed("pool/" + pool) {
-			pools[pool] = append(pools[pool], s)
-		}
+		pool := poolOfStep(v, s)
+		pools[pool] = append(pools[pool], s)
 	}
 	for pool, steps := range pools {
 		if err := m.carryOut(ctx, v, pool, steps); err != nil {
@@ -123,6 +122,16 @@
 	}
 }
 
+// homedPools returns a function that tells whether this node plans for a pool. The answer is fixed for one round.
+func (m *maintainer) homedPools(v *statelog.View) func(pool string) bool {
+	homed := make(map[string]bool)
+	v.Each(resource.KindPool, func(r *resource.Resource, _ resource.Spec) bool {
+		homed[r.Name] = m.d.coord.Homed("pool/" + r.Name)
+		return true
+	})
+	return func(pool string) bool { return homed[pool] }
+}
+
 func poolOfStep(v *statelog.View, s planner.Step) string {
 	if vm, ok := v.Spec(vmResource(s.VM)).(*resource.VM); ok {
 		return vm.Pool
--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -12,7 +12,7 @@
 // PlanNow implements operator.Planner.
 func (m *maintainer) PlanNow(ctx context.Context) *operator.PlanResponse {
 	v := m.d.follower.View()
-	fleet := m.observe(ctx, v)
+	fleet := m.observe(ctx, v, func(string) bool { return true })
 	plan := planner.Compute(fleet, deadlines(v), time.Now())
 	p := &operator.PlanResponse{
 		Waves: waveProgress(fleet), Steps: make([]operator.PlanStep, 0, len(plan.Steps)),
