Bound the wait of a starting node for silent members

Cause: a member that is paused or cut off but still listed never acknowledges a join, so that a node that started meanwhile stayed not ready until that member came back (found by reading). Change: after 15 s as a member, a node becomes ready without that agreement and logs nothing else; what is uncertain is refused truthfully. The decision is a function of its own.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -146,6 +146,7 @@
 		Addr: d.listeners.peers.Addr().String(),
 	})
 	d.settle = 0 // these tests wait for what they need themselves
+	d.settleLimit = patience
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{Daemon: d, stop: stop, done: make(chan error, 1)}
 	go func() { n.done <- d.Run(ctx) }()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,9 @@
 	// up to twice the clock skew before a double change have no home node that can vouch for them: in a run of make demo
 	// without this wait, 281 of 1,509 bookings were refused.
 	startSettle = 2 * claims.ClockSkew
+	// startSettleLimit ends that wait. A member that is paused or cut off but still listed never acknowledges the join, and
+	// must not keep other nodes from starting; requests that it makes uncertain are refused truthfully.
+	startSettleLimit = 15 * time.Second
 	// serverShutdown bounds the end of the operators' and the admin listener, which hold no callers' requests.
 	serverShutdown = 2 * time.Second
 	// adminHeaderTimeout ends connections to the operators' and the admin listener that send no header.
@@ -54,9 +57,10 @@
 
 	listeners listeners
 	draining  atomic.Bool
-	// settle is how long the members must agree before this node becomes ready for the first time.
-	settle  time.Duration
-	settled atomic.Bool
+	// settle is how long the members must agree before this node becomes ready for the first time, settleLimit how long it
+	// waits for that as a member.
+	settle, settleLimit time.Duration
+	settled             atomic.Bool
 	// routedNext is the next offset after the state from which the routing table was made, 0 before the first table.
 	routedNext atomic.Uint64
 	closing    chan struct{}
@@ -76,7 +80,9 @@
 		traces:   newTraceProvider(log, cfg.Node),
 		routes:   make(chan struct{}, 1),
 		settle:   startSettle,
-		closing:  make(chan struct{}),
+
+		settleLimit: startSettleLimit,
+		closing:     make(chan struct{}),
 	}
 	if err := d.listeners.open(cfg); err != nil {
 		return nil, err
@@ -206,14 +212,15 @@
 func (d *Daemon) reportVMList(ctx context.Context) {
 	ticker := time.NewTicker(d.cfg.Platform.PollInterval)
 	defer ticker.Stop()
-	var last, agreed time.Time
+	var last time.Time
+	var start startWait
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		agreed = d.checkSettled(agreed)
+		d.checkSettled(&start)
 		list, ok := d.poller.List()
 		polled := d.poller.Status().LastSuccess
 		if ok && polled.After(last) {
@@ -223,23 +230,39 @@
 	}
 }
 
-// checkSettled marks this node as settled once the members have agreed for long enough. It takes and returns since when
-// they agree, zero when they do not.
-func (d *Daemon) checkSettled(agreed time.Time) time.Time {
+// startWait is the progress of a starting node; zero times mean "not yet".
+type startWait struct {
+	member time.Time // since when the node is a member
+	agreed time.Time // since when all members are known to be at the same epoch
+}
+
+// checkSettled marks this node as settled once the members have agreed for long enough, or did not agree in time.
+func (d *Daemon) checkSettled(w *startWait) {
 	if d.settled.Load() {
-		return agreed
+		return
 	}
 	status := d.coord.Status()
+	if w.over(status.Member, status.Member && status.Covered, d.settle, d.settleLimit, time.Now()) {
+		d.settled.Store(true)
+	}
+}
+
+// over tells whether a node that is a member now, and whose members agree now, need not wait any longer.
+func (w *startWait) over(member, agreed bool, settle, limit time.Duration, now time.Time) bool {
+	w.member = since(member, w.member, now)
+	w.agreed = since(agreed, w.agreed, now)
+	return agreed && now.Sub(w.agreed) >= settle || member && now.Sub(w.member) >= limit
+}
+
+// since returns from when on a condition holds, given from when on it held before.
+func since(holds bool, before, now time.Time) time.Time {
 	switch {
-	case !status.Member || !status.Covered:
+	case !holds:
 		return time.Time{}
-	case agreed.IsZero():
-		agreed = time.Now()
-	}
-	if time.Since(agreed) >= d.settle {
-		d.settled.Store(true)
+	case before.IsZero():
+		return now
 	}
-	return agreed
+	return before
 }
 
 // notify wakes the receiver of a channel with a buffer of one. A pending notification covers later ones.
