Use the page's term for covered identifiers; read a named resource in one place

Cause: the read-through found a figurative verb for what the design page calls covered, and the same six lines in get and describe. Result: tests of claims and command pass uncached, those of operator too; lint clean; no behavior changed.

--- a/claims/attempt.go
+++ b/claims/attempt.go
@@ -106,7 +106,7 @@
 	if a.next < len(a.homes) {
 		return
 	}
-	// A first attempt may be overtaken by a later one. A home node that cannot vouch for the key does not know of the
+	// A first attempt may be overtaken by a later one. A home node that does not cover the key does not know of the
 	// later attempt when the home nodes changed in between, so the other home node must answer as well. A later attempt
 	// under a key without a time is never covered, so it cannot have been granted, and one home node is enough.
 	need := len(a.homes)
--- a/claims/table.go
+++ b/claims/table.go
@@ -36,7 +36,7 @@
 	StatusGranted    Status = 1
 	StatusKnown      Status = 2 // another attempt is claimed, done or unknown
 	StatusMismatch   Status = 3 // known with another fingerprint
-	StatusNotCovered Status = 4 // not known, but this node cannot vouch for it
+	StatusNotCovered Status = 4 // not known, but this node does not cover it
 	StatusStale      Status = 5 // the two nodes are at different epochs
 	StatusFull       Status = 6 // the table is full
 	StatusUnsettled  Status = 7 // homes of an earlier epoch may still grant the key
@@ -158,22 +158,22 @@
 	if !cov.Settled {
 		return Reply{Status: StatusUnsettled}
 	}
-	// An attempt that ended as not-run vouches for the attempts before it. It vouches for those after it only when
+	// An attempt that ended as not-run accounts for the attempts before it. It accounts for those after it only when
 	// they all came to this node.
-	vouched := covered || (cov.Known && !c.updated.Before(cov.HomeSince))
-	if !r.First && !vouched {
+	complete := covered || (cov.Known && !c.updated.Before(cov.HomeSince))
+	if !r.First && !complete {
 		return Reply{Status: StatusNotCovered}
 	}
 	c.before = PhaseNotRun
 	c.phase = PhaseClaimed
 	c.attempt = r.Attempt
-	c.epoch, c.covered = r.Epoch, vouched
+	c.epoch, c.covered = r.Epoch, complete
 	t.touch(c, now)
-	return Reply{Status: StatusGranted, Covered: vouched}
+	return Reply{Status: StatusGranted, Covered: complete}
 }
 
 // again answers an attempt that already holds the claim: its answer was lost, or the epoch moved and it asks the home
-// nodes of the new one. What this node could vouch for at the old epoch does not count at the new one.
+// nodes of the new one. What this node covered at the old epoch does not count at the new one.
 func (c *claim) again(r Request, cov Coverage, covered bool) Reply {
 	if r.Epoch == c.epoch {
 		return Reply{Status: StatusGranted, Covered: c.covered}
--- a/claims/types.go
+++ b/claims/types.go
@@ -51,7 +51,7 @@
 	ResultInProgress  Result = 2 // another attempt holds the claim or ended as unknown: may-have-run
 	ResultReplay      Result = 3 // completed earlier: send Answer; a nil Answer means it was not kept
 	ResultMismatch    Result = 4 // the identifier belongs to a request with another fingerprint: not-run
-	ResultUncovered   Result = 5 // nobody can vouch for earlier attempts: may-have-run
+	ResultUncovered   Result = 5 // no home node covers earlier attempts: may-have-run
 	ResultUnreachable Result = 6 // the homes could not be asked: not-run for a first attempt, else may-have-run
 	ResultFuture      Result = 7 // the identifier's time is in the future: not-run
 )
--- a/command/get.go
+++ b/command/get.go
@@ -46,12 +46,17 @@
 	return s.printTable(list.Resources)
 }
 
-func (s *session) getOne(ctx context.Context) error {
+// named reads the resource that the arguments name.
+func (s *session) named(ctx context.Context) (*resource.Resource, error) {
 	key, err := keyArgument(s.Context)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	r, err := s.client.Get(ctx, key)
+	return s.client.Get(ctx, key)
+}
+
+func (s *session) getOne(ctx context.Context) error {
+	r, err := s.named(ctx)
 	if err != nil {
 		return err
 	}
@@ -73,11 +78,7 @@
 }
 
 func runDescribe(ctx context.Context, s *session) error {
-	key, err := keyArgument(s.Context)
-	if err != nil {
-		return err
-	}
-	r, err := s.client.Get(ctx, key)
+	r, err := s.named(ctx)
 	if err != nil {
 		return err
 	}
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -237,7 +237,7 @@
 }
 
 // awaitBookings waits until bookings are served. Two changes of the members within 2 s leave some identifiers without a
-// home node that can vouch for them, so that bookings under them are refused; a daemon becomes ready after that time,
+// home node that covers them, so that bookings under them are refused; a daemon becomes ready after that time,
 // which these tests set to 0.
 func (c *cluster) awaitBookings() {
 	c.t.Helper()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,7 +26,7 @@
 
 const (
 	// startSettle is the time without a change of the members after which a starting node takes callers. Identifiers made
-	// up to twice the clock skew before a double change have no home node that can vouch for them: in a run of make demo
+	// up to twice the clock skew before a double change have no home node that covers them: in a run of make demo
 	// without this wait, 281 of 1,509 bookings were refused.
 	startSettle = 2 * claims.ClockSkew
 	// startSettleLimit ends that wait. A member that is paused or cut off but still listed never acknowledges the join, and
