Rename package platform to vmapi

The package is a client for the VM list and the workers of the stand-in protocol. The name platform is needed for the adapter to the users' platform, which is the only code that may know that platform's names. No behaviour changes.

--- a/cmd/berylwharf-capacity/fleet.go
+++ b/cmd/berylwharf-capacity/fleet.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/logclient"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // Sizes of the fleet that do not grow with the workers.
@@ -28,12 +28,12 @@
 func poolName(i int) string   { return fmt.Sprintf("pool-%02d", i) }
 
 // vmList lists the workers, all with the address of one fake backend server.
-func vmList(workers int, backend string) []platform.VM {
-	vms := make([]platform.VM, workers)
+func vmList(workers int, backend string) []vmapi.VM {
+	vms := make([]vmapi.VM, workers)
 	for i := range vms {
-		vms[i] = platform.VM{
+		vms[i] = vmapi.VM{
 			Name: workerName(i), Zone: fmt.Sprintf("zone-%02d", i%zones), Rack: fmt.Sprintf("rack-%04d", i/rackSize),
-			Role: platform.RoleWorker, Addr: backend, State: platform.StateLive,
+			Role: vmapi.RoleWorker, Addr: backend, State: vmapi.StateLive,
 		}
 	}
 	return vms
@@ -71,7 +71,7 @@
 func publish(ctx context.Context, log *logclient.Client, all []declared) error {
 	next := uint64(1)
 	for len(all) > 0 {
-		n := min(len(all), platform.MaxAppendRecords)
+		n := min(len(all), vmapi.MaxAppendRecords)
 		batch := make([][]byte, n)
 		for i, d := range all[:n] {
 			data, err := record(d, next)
--- a/cmd/berylwharf-demo/demo.go
+++ b/cmd/berylwharf-demo/demo.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/load"
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
--- a/cmd/berylwharf-demo/demo_test.go
+++ b/cmd/berylwharf-demo/demo_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	wire "github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // TestDocuments guards against a demo that declares resources or VMs which the daemons or the platform refuse.
--- a/cmd/berylwharf-demo/fleet.go
+++ b/cmd/berylwharf-demo/fleet.go
@@ -7,8 +7,8 @@
 	"os"
 	"path/filepath"
 
-	wire "github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
--- a/cmd/platform-standin/main.go
+++ b/cmd/platform-standin/main.go
@@ -16,8 +16,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v2"
 
-	wire "github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/standin/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // shutdownTimeout bounds how long running requests may take after SIGTERM.
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -19,9 +19,9 @@
 	"github.com/berylwharf/berylwharf/follower"
 	"github.com/berylwharf/berylwharf/membership"
 	"github.com/berylwharf/berylwharf/peer"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/slots"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 var (
@@ -353,7 +353,7 @@
 func (c *Coord) freeSlots(now time.Time) int {
 	free := 0
 	for _, vm := range c.list.vms {
-		if vm.Role == platform.RoleWorker {
+		if vm.Role == vmapi.RoleWorker {
 			n, _ := c.slots.Free(vm.Name, now)
 			free += n
 		}
--- a/coord/failure_test.go
+++ b/coord/failure_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/berylwharf/berylwharf/claims"
 	"github.com/berylwharf/berylwharf/follower"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // cutStore is a store whose node cannot reach the log any more, as one that is killed.
@@ -28,12 +28,12 @@
 	return s.fakeLog.Propose(ctx, c)
 }
 
-func vms(nodes ...string) []platform.VM {
-	var list []platform.VM
+func vms(nodes ...string) []vmapi.VM {
+	var list []vmapi.VM
 	for _, n := range nodes {
-		list = append(list, platform.VM{Name: "vm-" + n, Role: platform.RoleEntry, Node: n})
+		list = append(list, vmapi.VM{Name: "vm-" + n, Role: vmapi.RoleEntry, Node: n})
 	}
-	return append(list, platform.VM{Name: "w1", Role: platform.RoleWorker})
+	return append(list, vmapi.VM{Name: "w1", Role: vmapi.RoleWorker})
 }
 
 // TestNodeLeaves guards against slots that stay out of use after a graceful shutdown, and against a member that stays.
@@ -177,13 +177,13 @@
 	state []byte
 }
 
-func (r *fakeRecords) RecordsFrom(offset uint64) ([]platform.LogRecord, bool) {
+func (r *fakeRecords) RecordsFrom(offset uint64) ([]vmapi.LogRecord, bool) {
 	if offset < r.from {
 		return nil, false
 	}
-	var records []platform.LogRecord
+	var records []vmapi.LogRecord
 	for i := offset; i < r.from+uint64(r.n); i++ {
-		records = append(records, platform.LogRecord{Offset: i, Data: bytes.Repeat([]byte{byte(i)}, 60<<10)})
+		records = append(records, vmapi.LogRecord{Offset: i, Data: bytes.Repeat([]byte{byte(i)}, 60<<10)})
 	}
 	return records, true
 }
--- a/coord/member.go
+++ b/coord/member.go
@@ -11,9 +11,9 @@
 	"github.com/berylwharf/berylwharf/follower"
 	"github.com/berylwharf/berylwharf/membership"
 	"github.com/berylwharf/berylwharf/peer"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
@@ -32,7 +32,7 @@
 
 // vmList is what the platform's VM list says about the members.
 type vmList struct {
-	vms    []platform.VM
+	vms    []vmapi.VM
 	seen   map[string]bool // VMs that were listed at least once
 	absent map[absentee]int
 }
@@ -106,7 +106,7 @@
 		}
 	}
 	for _, vm := range c.list.vms {
-		if vm.Role == platform.RoleEntry && vm.Name != c.cfg.VM {
+		if vm.Role == vmapi.RoleEntry && vm.Name != c.cfg.VM {
 			targets = append(targets, peer.Target{Node: vm.Node, Addr: vm.Addr})
 		}
 	}
@@ -247,7 +247,7 @@
 }
 
 // SetVMList passes on a newly polled VM list. It proposes the removal of members whose VM the lists lack.
-func (c *Coord) SetVMList(vms []platform.VM) {
+func (c *Coord) SetVMList(vms []vmapi.VM) {
 	c.mu.Lock()
 	c.list.vms = vms
 	gone := c.countAbsent(time.Now())
--- a/coord/records.go
+++ b/coord/records.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/peer"
-	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
@@ -29,7 +29,7 @@
 type RecordSource interface {
 	// RecordsFrom returns the records from an offset up to the newest, without gaps. ok is false when the oldest of them
 	// is no longer kept.
-	RecordsFrom(offset uint64) (records []platform.LogRecord, ok bool)
+	RecordsFrom(offset uint64) (records []vmapi.LogRecord, ok bool)
 	// FullState returns the encoded state with its next offset and hash.
 	FullState() (data []byte, next uint64, hash [32]byte, err error)
 }
@@ -104,7 +104,7 @@
 }
 
 // firstRecords returns as many records as fit into one reply, at least one.
-func firstRecords(records []platform.LogRecord) []wireRecord {
+func firstRecords(records []vmapi.LogRecord) []wireRecord {
 	const overhead = 24 // offset, map header and length prefix of one record
 	size := 0
 	var first []wireRecord
@@ -142,8 +142,8 @@
 // PeerAnswer is what a peer knows: records from the offset that was asked for, or a full state. Both are empty when the
 // peer has nothing newer. It converts to follower.PeerAnswer.
 type PeerAnswer struct {
-	Records []platform.LogRecord // contiguous from the requested offset
-	State   []byte               // an encoded state
+	Records []vmapi.LogRecord // contiguous from the requested offset
+	State   []byte            // an encoded state
 	// Next and Hash are the peer's next offset and the hash of its state there. Records may end earlier.
 	Next uint64
 	Hash [32]byte
@@ -198,7 +198,7 @@
 	}
 	a := PeerAnswer{Next: reply.Next, Hash: reply.Hash}
 	for _, r := range reply.Records {
-		a.Records = append(a.Records, platform.LogRecord(r))
+		a.Records = append(a.Records, vmapi.LogRecord(r))
 	}
 	return a, nil
 }
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -18,11 +18,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylwharf/berylwharf/operator"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/settings"
 	"github.com/berylwharf/berylwharf/standin/backend"
 	platformstandin "github.com/berylwharf/berylwharf/standin/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
@@ -39,7 +39,7 @@
 	backends map[string]*backend.Server
 	nodes    map[string]*node
 	mu       sync.Mutex
-	vms      []platform.VM
+	vms      []vmapi.VM
 	later    int // nodes that startLater starts
 }
 
@@ -89,11 +89,11 @@
 	}
 	c.t.Cleanup(func() { _ = b.Close() })
 	c.backends[vm] = b
-	c.list(platform.VM{Name: vm, Zone: "z", Rack: "r", Role: platform.RoleWorker, Addr: b.Addr(), State: platform.StateLive})
+	c.list(vmapi.VM{Name: vm, Zone: "z", Rack: "r", Role: vmapi.RoleWorker, Addr: b.Addr(), State: vmapi.StateLive})
 }
 
 // list adds or replaces an entry of the VM list.
-func (c *cluster) list(vm platform.VM) {
+func (c *cluster) list(vm vmapi.VM) {
 	c.unlist(vm.Name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -141,8 +141,8 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.list(platform.VM{
-		Name: name, Zone: "z", Rack: "r", Role: platform.RoleEntry, State: platform.StateLive, Node: name,
+	c.list(vmapi.VM{
+		Name: name, Zone: "z", Rack: "r", Role: vmapi.RoleEntry, State: vmapi.StateLive, Node: name,
 		Addr: d.listeners.peers.Addr().String(),
 	})
 	d.settle = 0 // these tests wait for what they need themselves
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,8 +20,8 @@
 	"github.com/berylwharf/berylwharf/logclient"
 	"github.com/berylwharf/berylwharf/operator"
 	"github.com/berylwharf/berylwharf/peer"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/settings"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
@@ -49,8 +49,8 @@
 	peers      peerSource
 	coord      *coord.Coord
 	entry      *entry.Handler
-	platform   *platform.Client
-	poller     *platform.Poller
+	platform   *vmapi.Client
+	poller     *vmapi.Poller
 	prober     *prober
 	maintainer *maintainer
 	routes     chan struct{} // wakes the goroutine that rebuilds the routing table
@@ -146,7 +146,7 @@
 	}
 	d.maintainer = newMaintainer(d)
 	d.prober = newProber(d.log, d.coord.Homed, d.entry.SetProbe)
-	d.poller = platform.NewPoller(d.platform, d.cfg.Platform.PollInterval, d.onVMList, d.log)
+	d.poller = vmapi.NewPoller(d.platform, d.cfg.Platform.PollInterval, d.onVMList, d.log)
 	d.registerGauges()
 	return nil
 }
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	d.platform, err = platform.NewClient(d.cfg.Platform.URL, 0)
+	d.platform, err = vmapi.NewClient(d.cfg.Platform.URL, 0)
 	if err != nil {
 		return err
 	}
@@ -201,7 +201,7 @@
 }
 
 // onVMList installs a new VM list.
-func (d *Daemon) onVMList(list platform.VMList) {
+func (d *Daemon) onVMList(list vmapi.VMList) {
 	d.prober.setTargets(list.VMs)
 	d.maintainer.onVMList(list)
 	notify(d.routes)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/berylwharf/berylwharf/operator"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/standin/backend"
 	platformstandin "github.com/berylwharf/berylwharf/standin/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // TestRepeatedBookingAtAnotherNode guards against a booking that runs twice because its repeat reached another entry
@@ -97,8 +97,8 @@
 		t.Fatal(err)
 	}
 	c.inject(platformstandin.Fault{Kind: platformstandin.FaultOutage, Target: platformstandin.TargetLog})
-	leaving := platform.VM{
-		Name: "w1", Zone: "z", Rack: "r", Role: platform.RoleWorker, Addr: c.backends["w1"].Addr(), State: platform.StateLeaving,
+	leaving := vmapi.VM{
+		Name: "w1", Zone: "z", Rack: "r", Role: vmapi.RoleWorker, Addr: c.backends["w1"].Addr(), State: vmapi.StateLeaving,
 	}
 	c.list(leaving)
 	if err := c.backends["w2"].Inject(backend.Fault{Kind: backend.FaultLeave}); err != nil {
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/berylwharf/berylwharf/planner"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/routing"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // maintenanceConfig is the name of the config resource that overrides the deadlines of maintenance. Its values are
@@ -34,7 +34,7 @@
 
 // observation is what a node sees of the VMs beside the declared state.
 type observation struct {
-	listed map[string]platform.VM
+	listed map[string]vmapi.VM
 	probe  func(vm string) routing.Probe
 	// idle tells whether every member has acknowledged that it starts nothing on the VM and nothing runs there.
 	idle func(vm string) bool
@@ -76,7 +76,7 @@
 	p := o.probe(name)
 	vm := planner.VM{
 		Name: name, Zone: listed.Zone, Rack: listed.Rack, Pool: spec.Pool, Drained: spec.Drain, Next: spec.Next,
-		Healthy: ok && listed.State == platform.StateLive && p != routing.ProbeDead && p != routing.ProbeLeaving,
+		Healthy: ok && listed.State == vmapi.StateLive && p != routing.ProbeDead && p != routing.ProbeLeaving,
 	}
 	a, ok := active[name]
 	if !ok {
--- a/daemon/maintain.go
+++ b/daemon/maintain.go
@@ -11,9 +11,9 @@
 
 	"github.com/berylwharf/berylwharf/follower"
 	"github.com/berylwharf/berylwharf/planner"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
@@ -54,7 +54,7 @@
 }
 
 // onVMList remembers which declared VMs are not listed.
-func (m *maintainer) onVMList(list platform.VMList) {
+func (m *maintainer) onVMList(list vmapi.VMList) {
 	listed := make(map[string]bool, len(list.VMs))
 	for _, vm := range list.VMs {
 		listed[vm.Name] = true
@@ -78,7 +78,7 @@
 // observe returns the fleet as this node sees it. Idleness is asked from the platform and is therefore optional.
 func (m *maintainer) observe(ctx context.Context, v *statelog.View, keep func(pool string) bool) *planner.Fleet {
 	list, _ := m.d.poller.List()
-	listed := make(map[string]platform.VM, len(list.VMs))
+	listed := make(map[string]vmapi.VM, len(list.VMs))
 	for _, vm := range list.VMs {
 		listed[vm.Name] = vm
 	}
@@ -206,14 +206,14 @@
 	return " in wave " + wave
 }
 
-func (m *maintainer) place(vm string) platform.VM {
+func (m *maintainer) place(vm string) vmapi.VM {
 	list, _ := m.d.poller.List()
 	for _, e := range list.VMs {
 		if e.Name == vm {
 			return e
 		}
 	}
-	return platform.VM{}
+	return vmapi.VM{}
 }
 
 // phaseAfter maps steps to the phase that they begin. Steps that are not listed end the maintenance of their VM.
@@ -224,7 +224,7 @@
 	planner.StepRelease: resource.PhaseReleasing,
 }
 
-func applyStep(next *resource.Maintenance, s planner.Step, place platform.VM) {
+func applyStep(next *resource.Maintenance, s planner.Step, place vmapi.VM) {
 	if s.VM == "" {
 		return
 	}
--- a/daemon/probe.go
+++ b/daemon/probe.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylwharf/berylwharf/peer"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/routing"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
@@ -33,7 +33,7 @@
 	report func(vm string, p routing.Probe)
 
 	mu      sync.Mutex
-	targets []platform.VM
+	targets []vmapi.VM
 	results map[string]routing.Probe            // of this node's own probes
 	remote  map[string]map[string]routing.Probe // by home node: workers that are not alive
 }
@@ -50,14 +50,14 @@
 }
 
 // setTargets replaces the listed workers and forgets results of those that are no longer listed.
-func (p *prober) setTargets(vms []platform.VM) {
+func (p *prober) setTargets(vms []vmapi.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.results
 	p.targets = nil
 	p.results = make(map[string]routing.Probe)
 	for _, vm := range vms {
-		if vm.Role != platform.RoleWorker {
+		if vm.Role != vmapi.RoleWorker {
 			continue
 		}
 		p.targets = append(p.targets, vm)
@@ -99,11 +99,11 @@
 }
 
 // homedTargets returns the workers to probe and forgets the results of those that have another home node now.
-func (p *prober) homedTargets() []platform.VM {
+func (p *prober) homedTargets() []vmapi.VM {
 	p.mu.Lock()
 	targets := p.targets
 	p.mu.Unlock()
-	var homed []platform.VM
+	var homed []vmapi.VM
 	for _, vm := range targets {
 		if p.homed(vm.Name) {
 			homed = append(homed, vm)
@@ -116,7 +116,7 @@
 	return homed
 }
 
-func (p *prober) probe(ctx context.Context, vm platform.VM) routing.Probe {
+func (p *prober) probe(ctx context.Context, vm vmapi.VM) routing.Probe {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Addr+"/healthz", http.NoBody)
 	if err != nil {
 		p.log.Warnf("health: address of %s is not usable: %v", vm.Name, err)
--- a/daemon/table.go
+++ b/daemon/table.go
@@ -3,15 +3,15 @@
 import (
 	"sort"
 
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
 	"github.com/berylwharf/berylwharf/routing"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // buildTable derives the routing table from the declared state and the platform's VM list. A VM gets new work for the
 // services of its pool only while the list shows it as live, no drain is declared, and it is not out of service by plan.
-func buildTable(v *statelog.View, vms []platform.VM) *routing.Table {
+func buildTable(v *statelog.View, vms []vmapi.VM) *routing.Table {
 	pools := backendsByPool(v, vms)
 	t := &routing.Table{
 		Services:  make(map[string]*routing.Service),
@@ -42,11 +42,11 @@
 	}
 }
 
-func backendsByPool(v *statelog.View, vms []platform.VM) map[string][]routing.Backend {
+func backendsByPool(v *statelog.View, vms []vmapi.VM) map[string][]routing.Backend {
 	pools := make(map[string][]routing.Backend)
 	active := activeVMs(v)
 	for _, vm := range vms {
-		if vm.Role != platform.RoleWorker || vm.State != platform.StateLive {
+		if vm.Role != vmapi.RoleWorker || vm.State != vmapi.StateLive {
 			continue
 		}
 		pool, ok := poolOf(v, vm.Name)
--- a/follower/config.go
+++ b/follower/config.go
@@ -7,14 +7,14 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // Log is the log service. *logclient.Client implements it.
 type Log interface {
-	Append(ctx context.Context, stream string, records [][]byte) (platform.AppendResponse, error)
-	Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (platform.ReadResponse, error)
+	Append(ctx context.Context, stream string, records [][]byte) (vmapi.AppendResponse, error)
+	Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (vmapi.ReadResponse, error)
 }
 
 // PeerSource asks other nodes for what the log service cannot deliver.
@@ -26,8 +26,8 @@
 
 // PeerAnswer is what a peer knows. Its server side is Follower.RecordsFrom and Follower.FullState.
 type PeerAnswer struct {
-	Records []platform.LogRecord // contiguous from the requested offset
-	State   []byte               // an encoded state, used when Records is empty
+	Records []vmapi.LogRecord // contiguous from the requested offset
+	State   []byte            // an encoded state, used when Records is empty
 	// Next and Hash are the peer's next offset and the hash of its state there. Records may end earlier.
 	Next uint64
 	Hash [32]byte
--- a/follower/fake_test.go
+++ b/follower/fake_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylwharf/berylwharf/logclient"
-	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // fault is what happens to one call of the fake log.
@@ -81,19 +81,19 @@
 	return s.oldest + uint64(len(s.records))
 }
 
-func (l *fakeLog) Append(ctx context.Context, name string, records [][]byte) (platform.AppendResponse, error) {
+func (l *fakeLog) Append(ctx context.Context, name string, records [][]byte) (vmapi.AppendResponse, error) {
 	l.mu.Lock()
 	hook := l.onAppend
 	l.mu.Unlock()
 	f := hook(name)
 	switch f {
 	case faultRefused:
-		return platform.AppendResponse{}, &logclient.AppendError{Err: syscall.ECONNREFUSED}
+		return vmapi.AppendResponse{}, &logclient.AppendError{Err: syscall.ECONNREFUSED}
 	case faultUnknown:
-		return platform.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: errors.New("broken")}
+		return vmapi.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: errors.New("broken")}
 	case faultHang:
 		<-ctx.Done()
-		return platform.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: ctx.Err()}
+		return vmapi.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: ctx.Err()}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,13 +107,13 @@
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if f != faultNone {
-		return platform.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: errors.New("answer lost")}
+		return vmapi.AppendResponse{}, &logclient.AppendError{MayTakeEffect: true, Err: errors.New("answer lost")}
 	}
-	return platform.AppendResponse{First: first, Next: s.oldest + uint64(len(s.records))}, nil
+	return vmapi.AppendResponse{First: first, Next: s.oldest + uint64(len(s.records))}, nil
 }
 
 func (l *fakeLog) Read(ctx context.Context, name string, from uint64, maxRecords int, wait time.Duration) (
-	platform.ReadResponse, error) {
+	vmapi.ReadResponse, error) {
 	l.mu.Lock()
 	hook := l.onRead
 	l.mu.Unlock()
@@ -121,25 +121,25 @@
 	case faultNone:
 	case faultHang:
 		<-ctx.Done()
-		return platform.ReadResponse{}, ctx.Err()
+		return vmapi.ReadResponse{}, ctx.Err()
 	default:
-		return platform.ReadResponse{}, syscall.ECONNREFUSED
+		return vmapi.ReadResponse{}, syscall.ECONNREFUSED
 	}
 	if err := ctx.Err(); err != nil { // the hook took too long
-		return platform.ReadResponse{}, err
+		return vmapi.ReadResponse{}, err
 	}
 	timer := time.After(wait)
 	for {
 		l.mu.Lock()
 		s, grown := l.stream(name), l.grown
 		next := s.oldest + uint64(len(s.records))
-		resp := platform.ReadResponse{Oldest: s.oldest, Next: next}
+		resp := vmapi.ReadResponse{Oldest: s.oldest, Next: next}
 		for o := from; o >= s.oldest && o < next && len(resp.Records) < maxRecords; o++ {
-			resp.Records = append(resp.Records, platform.LogRecord{Offset: o, Data: s.records[o-s.oldest]})
+			resp.Records = append(resp.Records, vmapi.LogRecord{Offset: o, Data: s.records[o-s.oldest]})
 		}
 		l.mu.Unlock()
 		if from < resp.Oldest {
-			return platform.ReadResponse{}, &logclient.GoneError{Oldest: resp.Oldest, Next: next}
+			return vmapi.ReadResponse{}, &logclient.GoneError{Oldest: resp.Oldest, Next: next}
 		}
 		if len(resp.Records) > 0 || wait == 0 {
 			return resp, nil
@@ -149,7 +149,7 @@
 		case <-timer:
 			return resp, nil
 		case <-ctx.Done():
-			return platform.ReadResponse{}, ctx.Err()
+			return vmapi.ReadResponse{}, ctx.Err()
 		}
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/logclient"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // Follower keeps a state current and implements Store. All methods are safe for concurrent use.
@@ -238,7 +238,7 @@
 }
 
 // applyLocked applies the records that continue the state and skips those that it has. It publishes one view for all.
-func (f *Follower) applyLocked(records []platform.LogRecord) {
+func (f *Follower) applyLocked(records []vmapi.LogRecord) {
 	applied := 0
 	for _, r := range records {
 		if r.Offset < f.state.Next() {
--- a/follower/propose.go
+++ b/follower/propose.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/logclient"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // Causes of a ProposeError beside the errors of the context and of the log client.
@@ -252,7 +252,7 @@
 	for _, p := range f.queue {
 		n := encodedSize(p.data)
 		due := !p.notBefore.After(now)
-		if !due || len(batch) == platform.MaxAppendRecords || size+n > maxBatchBytes {
+		if !due || len(batch) == vmapi.MaxAppendRecords || size+n > maxBatchBytes {
 			if !due {
 				wait = min(wait, p.notBefore.Sub(now))
 			}
--- a/follower/recover_test.go
+++ b/follower/recover_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // peerOf serves what another follower knows, as the peer link does.
@@ -139,7 +139,7 @@
 		t.Fatal(err)
 	}
 	for o := uint64(1); o <= historyRecords+10; o++ {
-		f.applyLocked([]platform.LogRecord{{Offset: o, Data: []byte{byte(o)}}})
+		f.applyLocked([]vmapi.LogRecord{{Offset: o, Data: []byte{byte(o)}}})
 	}
 	if _, ok := f.RecordsFrom(10); ok {
 		t.Error("offset 10 is still kept")
@@ -155,7 +155,7 @@
 	}
 	var h history
 	for o := range uint64(300) {
-		h.add(platform.LogRecord{Offset: o + 1, Data: make([]byte, 64<<10)})
+		h.add(vmapi.LogRecord{Offset: o + 1, Data: make([]byte, 64<<10)})
 	}
 	if len(h.records) != historyBytes/(64<<10) {
 		t.Errorf("%d records of 64 KiB are kept", len(h.records))
--- a/follower/restore.go
+++ b/follower/restore.go
@@ -6,8 +6,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/logclient"
-	"github.com/berylwharf/berylwharf/platform"
 	"github.com/berylwharf/berylwharf/statelog"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // firstSnapshotWindow is the number of last records of stream snapshots that are read first. A snapshot at the design
@@ -162,7 +162,7 @@
 
 // history holds the last raw records for peers.
 type history struct {
-	records []platform.LogRecord // contiguous offsets
+	records []vmapi.LogRecord // contiguous offsets
 	bytes   int
 }
 
@@ -172,7 +172,7 @@
 	historyBytes   = 16 << 20
 )
 
-func (h *history) add(r platform.LogRecord) {
+func (h *history) add(r vmapi.LogRecord) {
 	h.records = append(h.records, r)
 	h.bytes += len(r.Data)
 	drop := 0
@@ -187,7 +187,7 @@
 // RecordsFrom returns the records from an offset up to the applied one; none when the offset is the next one. It
 // reports false when it no longer has them or has not applied them yet; the peer then needs FullState or another node.
 // Callers must not modify the data.
-func (f *Follower) RecordsFrom(offset uint64) ([]platform.LogRecord, bool) {
+func (f *Follower) RecordsFrom(offset uint64) ([]vmapi.LogRecord, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := f.state.Next()
@@ -198,7 +198,7 @@
 	if offset > next || len(h) == 0 || offset < h[0].Offset {
 		return nil, false
 	}
-	return append([]platform.LogRecord(nil), h[offset-h[0].Offset:]...), true
+	return append([]vmapi.LogRecord(nil), h[offset-h[0].Offset:]...), true
 }
 
 // FullState returns the encoded state with its next offset and hash.
--- a/logclient/client.go
+++ b/logclient/client.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // Defaults of Config.
@@ -86,8 +86,8 @@
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Append appends 1 to 256 records, which get contiguous offsets. All errors are *AppendError.
-func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (platform.AppendResponse, error) {
-	var out platform.AppendResponse
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (vmapi.AppendResponse, error) {
+	var out vmapi.AppendResponse
 	body, err := encodeAppend(records)
 	if err != nil {
 		return out, &AppendError{Err: err}
@@ -109,7 +109,7 @@
 	defer discard(resp)
 	if resp.StatusCode != http.StatusOK {
 		none := resp.StatusCode == http.StatusServiceUnavailable &&
-			resp.Header.Get(platform.EffectHeader) == platform.EffectNone
+			resp.Header.Get(vmapi.EffectHeader) == vmapi.EffectNone
 		return out, &AppendError{MayTakeEffect: !none, Err: statusError(resp)}
 	}
 	data, err := c.body(resp)
@@ -117,14 +117,14 @@
 		out, err = parseAppend(data, len(records))
 	}
 	if err != nil {
-		return platform.AppendResponse{}, &AppendError{MayTakeEffect: true, Err: err}
+		return vmapi.AppendResponse{}, &AppendError{MayTakeEffect: true, Err: err}
 	}
 	return out, nil
 }
 
 // parseAppend parses the answer to an append of n records.
-func parseAppend(data []byte, n int) (platform.AppendResponse, error) {
-	var out platform.AppendResponse
+func parseAppend(data []byte, n int) (vmapi.AppendResponse, error) {
+	var out vmapi.AppendResponse
 	if err := json.Unmarshal(data, &out); err != nil {
 		return out, errors.Wrap(err, "answer of the log service")
 	}
@@ -135,15 +135,15 @@
 }
 
 func encodeAppend(records [][]byte) ([]byte, error) {
-	if len(records) == 0 || len(records) > platform.MaxAppendRecords {
-		return nil, fmt.Errorf("append of %d records, 1 to %d are permitted", len(records), platform.MaxAppendRecords)
+	if len(records) == 0 || len(records) > vmapi.MaxAppendRecords {
+		return nil, fmt.Errorf("append of %d records, 1 to %d are permitted", len(records), vmapi.MaxAppendRecords)
 	}
-	body, err := json.Marshal(platform.AppendRequest{Records: records})
+	body, err := json.Marshal(vmapi.AppendRequest{Records: records})
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > platform.MaxAppendBytes {
-		return nil, fmt.Errorf("append of %d bytes, at most %d are permitted", len(body), platform.MaxAppendBytes)
+	if len(body) > vmapi.MaxAppendBytes {
+		return nil, fmt.Errorf("append of %d bytes, at most %d are permitted", len(body), vmapi.MaxAppendBytes)
 	}
 	return body, nil
 }
@@ -151,9 +151,9 @@
 // Read returns up to maxRecords records from an offset on. When there are none, it waits up to wait (at most 30 s) for
 // one. The records are contiguous and start at the offset. The error is *GoneError when the records are no longer kept.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (
-	platform.ReadResponse, error) {
-	var out platform.ReadResponse
-	waitMs := min(max(wait.Milliseconds(), 0), platform.MaxWaitMs)
+	vmapi.ReadResponse, error) {
+	var out vmapi.ReadResponse
+	waitMs := min(max(wait.Milliseconds(), 0), vmapi.MaxWaitMs)
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout+time.Duration(waitMs)*time.Millisecond)
 	defer cancel()
 	q := url.Values{}
@@ -183,7 +183,7 @@
 }
 
 func parseGone(data []byte) error {
-	var out platform.ReadResponse
+	var out vmapi.ReadResponse
 	if err := json.Unmarshal(data, &out); err != nil {
 		return errors.Wrap(err, "answer of the log service")
 	}
@@ -194,17 +194,17 @@
 }
 
 // parseRead rejects an answer with a gap: a reader that skipped records would differ from the others.
-func parseRead(data []byte, from uint64) (platform.ReadResponse, error) {
-	var out platform.ReadResponse
+func parseRead(data []byte, from uint64) (vmapi.ReadResponse, error) {
+	var out vmapi.ReadResponse
 	if err := json.Unmarshal(data, &out); err != nil {
-		return platform.ReadResponse{}, errors.Wrap(err, "answer of the log service")
+		return vmapi.ReadResponse{}, errors.Wrap(err, "answer of the log service")
 	}
 	for i, rec := range out.Records {
 		if rec.Offset != from+uint64(i) {
-			return platform.ReadResponse{}, fmt.Errorf("answer has offset %d in place of %d", rec.Offset, from+uint64(i))
+			return vmapi.ReadResponse{}, fmt.Errorf("answer has offset %d in place of %d", rec.Offset, from+uint64(i))
 		}
 		if rec.Offset >= out.Next {
-			return platform.ReadResponse{}, fmt.Errorf("answer has offset %d but names %d as next", rec.Offset, out.Next)
+			return vmapi.ReadResponse{}, fmt.Errorf("answer has offset %d but names %d as next", rec.Offset, out.Next)
 		}
 	}
 	return out, nil
--- a/logclient/client_test.go
+++ b/logclient/client_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
 )
 
 // serve returns a client of a log service that answers all calls in one way.
@@ -52,7 +52,7 @@
 // Guards against an append that may have taken effect being reported as without effect, and the reverse for the two
 // proofs that the protocol offers.
 func TestAppendOutcome(t *testing.T) {
-	none := []string{platform.EffectHeader, platform.EffectNone}
+	none := []string{vmapi.EffectHeader, vmapi.EffectNone}
 	for name, tc := range map[string]struct {
 		h   http.HandlerFunc
 		ok  bool
@@ -62,7 +62,7 @@
 		"503 with proof":       {h: answer(503, "", none...)},
 		"503 without proof":    {h: answer(503, ""), may: true},
 		"500 with that header": {h: answer(500, "", none...), may: true},
-		"503 other value":      {h: answer(503, "", platform.EffectHeader, "some"), may: true},
+		"503 other value":      {h: answer(503, "", vmapi.EffectHeader, "some"), may: true},
 		"400":                  {h: answer(400, "bad"), may: true},
 		"redirect":             {h: answer(307, "", "Location", "/elsewhere"), may: true},
 		"cut answer":           {h: answer(200, `{"first":7,`), may: true},
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 const (
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // DefaultRebootTime is how long a rebooting VM is not listed.
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // clock is a clock that tests move.
--- a/standin/platform/stream.go
+++ b/standin/platform/stream.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // maxReadBytes bounds the record data in one answer. It exceeds an append, so that a read always makes progress.
--- a/standin/platform/tag_test.go
+++ b/standin/platform/tag_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // TestUnchangedListIsNotSent guards against a list that is sent again although nothing changed, and against a change
--- a/standin/platform/workers.go
+++ b/standin/platform/workers.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	wire "github.com/berylwharf/berylwharf/platform"
+	wire "github.com/berylwharf/berylwharf/vmapi"
 )
 
 // Size of a worker.
--- a/platform/client.go
+++ b/vmapi/client.go
@@ -1,4 +1,4 @@
-package platform
+package vmapi
 
 import (
 	"bytes"
--- a/platform/types.go
+++ b/vmapi/types.go
@@ -1,6 +1,6 @@
-// Package platform holds the wire types of the platform's protocol and a client for its VM list and workers. The log
+// Package vmapi holds the wire types of the platform's protocol and a client for its VM list and workers. The log
 // service's client is in package logclient.
-package platform
+package vmapi
 
 import "time"
 
