--- a/cmd/berylwharfd/main.go
+++ b/cmd/berylwharfd/main.go
@@ -2,6 +2,7 @@
 //
 //	berylwharfd FILE        run with the settings in FILE
 //	berylwharfd check FILE  check the settings and exit
+//	berylwharfd jobs        run a node of the job manager on a platform
 package main
 
 import (
@@ -32,6 +33,7 @@
 		Action:    run,
 		Commands: []*cli.Command{
 			{Name: "check", Usage: "check a settings file", ArgsUsage: "FILE", Action: check},
+			jobsCommand(),
 		},
 		ExitErrHandler: func(*cli.Context, error) {},
 	}
--- /dev/null
+++ b/job/commit.go
@@ -0,0 +1,151 @@
+package job
+
+import "slices"
+
+// Commit is a group of records that must be stored together, in order.
+type Commit struct {
+	Records []Record
+	// Jobs lists the jobs whose stored state the commit changes.
+	Jobs []string
+
+	phases map[string]Phase
+	ends   map[string]lifeEnd
+}
+
+// Ends tells whether the commit contains the end of a job.
+func (c *Commit) Ends(id string) bool { return c.phases[id] != Active }
+
+// lifeEnd is the number up to which the ends of a worker's life are covered by a commit.
+type lifeEnd struct {
+	born   int64
+	number int64
+}
+
+// TakeCommit returns the changes since the last commit, or nil when there are none or a commit is outstanding.
+func (p *Pool) TakeCommit() *Commit {
+	if p.committing || !p.Dirty() {
+		return nil
+	}
+	c := &Commit{phases: make(map[string]Phase), ends: make(map[string]lifeEnd)}
+	ids := make([]string, 0, len(p.dirty))
+	for id := range p.dirty {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		c.addJob(p.dirty[id])
+	}
+	for _, r := range p.workerRecords {
+		c.Records = append(c.Records, r)
+	}
+	for id, w := range p.workers {
+		if w.processed > w.stableEnd {
+			c.ends[id] = lifeEnd{born: w.born, number: w.processed}
+		}
+	}
+	clear(p.dirty)
+	clear(p.workerRecords)
+	p.endsPending = false
+	p.committing = true
+	return c
+}
+
+// Dirty tells whether there is something to commit.
+func (p *Pool) Dirty() bool {
+	return len(p.dirty) > 0 || len(p.workerRecords) > 0 || p.endsPending
+}
+
+func (c *Commit) addJob(j *jobState) {
+	id := j.spec.ID
+	c.Jobs = append(c.Jobs, id)
+	c.phases[id] = j.phase
+	if j.removed {
+		c.Records = append(c.Records, Record{Key: keySpec + id})
+		return
+	}
+	if j.dirtySpec {
+		c.Records = append(c.Records, Record{Key: keySpec + id, Value: encode(specRecord{
+			Phase: j.phase, Spec: storedSpec(j), EndMs: j.endMs,
+		})})
+	}
+	if j.dirtyProgress {
+		c.Records = append(c.Records, Record{Key: keyProgress + id, Value: j.progress()})
+	}
+	j.dirtySpec, j.dirtyProgress = false, false
+}
+
+// storedSpec returns the specification to store. Of a finished job only what its state needs is kept.
+func storedSpec(j *jobState) *Spec {
+	if j.phase == Active {
+		return j.spec
+	}
+	return &Spec{ID: j.spec.ID, Queue: j.spec.Queue, Pool: j.spec.Pool, AcceptedMs: j.spec.AcceptedMs}
+}
+
+// progress encodes the progress of a job. It is empty, which removes the key, when there is none.
+func (j *jobState) progress() []byte {
+	if j.phase != Active {
+		return nil
+	}
+	r := progressRecord{First: j.first}
+	for k := j.first; k < j.next; k++ {
+		o := j.occurrences[k]
+		if o == nil {
+			continue
+		}
+		o.each(func(t *task) {
+			if t.done || t.failures > 0 || t.endedRun > 0 || t.saved != "" {
+				r.Tasks = append(r.Tasks, taskRecord{
+					Occurrence: k, Step: t.id.Step, Index: t.id.Index,
+					Done: t.done, Failures: t.failures, LastRun: t.endedRun, Saved: t.saved,
+				})
+			}
+		})
+	}
+	return encode(r)
+}
+
+// Committed confirms that a commit is stored. Tasks of jobs that it cancelled are stopped, jobs that it accepted may
+// start, and workers may forget the ends that it covers.
+func (p *Pool) Committed(c *Commit, now Time) {
+	p.committing = false
+	for _, id := range c.Jobs {
+		j := p.jobs[id]
+		if j == nil {
+			continue
+		}
+		if j.removed {
+			delete(p.jobs, id)
+			continue
+		}
+		j.stored = true
+		j.shown = c.phases[id]
+		if j.phase != Active {
+			p.stopAll(j, now)
+		}
+	}
+	for id, end := range c.ends {
+		if w := p.workers[id]; w != nil && w.born == end.born {
+			w.stableEnd = max(w.stableEnd, end.number)
+		}
+	}
+}
+
+// stopAll orders the end of all runs of a job and drops its occurrences.
+func (p *Pool) stopAll(j *jobState, now Time) {
+	for _, o := range j.occurrences {
+		o.each(func(t *task) {
+			if t.run != nil {
+				p.stop(t.run, now)
+			}
+		})
+	}
+}
+
+func (j *jobState) running() bool {
+	found := false
+	for _, o := range j.occurrences {
+		o.each(func(t *task) { found = found || t.run != nil })
+	}
+	return found
+}
--- /dev/null
+++ b/job/event.go
@@ -0,0 +1,30 @@
+package job
+
+// Event is a decision or observation for the log.
+type Event struct {
+	Kind   string
+	Job    string
+	Queue  string
+	Task   TaskID
+	Run    int
+	Worker string
+	Why    string
+	AgeMs  int64
+	Count  int
+}
+
+// maxEvents bounds the events that wait for the owner; later ones are dropped and counted.
+const maxEvents = 4096
+
+func (p *Pool) event(e Event) {
+	if len(p.events) < maxEvents {
+		p.events = append(p.events, e)
+	}
+}
+
+// TakeEvents returns the events since the last call.
+func (p *Pool) TakeEvents() []Event {
+	e := p.events
+	p.events = nil
+	return e
+}
--- /dev/null
+++ b/job/order.go
@@ -0,0 +1,177 @@
+package job
+
+import "time"
+
+const (
+	// repeatAfter is when an order without an effect is sent again.
+	repeatAfter = 600 * time.Millisecond
+	// maxStartTries is how often a start without an answer is sent before the run is stopped and the task goes elsewhere.
+	maxStartTries = 2
+	// runGap is added to the number of a run that a worker refused as too low.
+	runGap = 8
+)
+
+// OrderKind is what a worker is told to do.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	OrderStart OrderKind = iota
+	OrderStop
+	OrderPace
+)
+
+// Order is an order to a worker.
+type Order struct {
+	Kind    OrderKind
+	Worker  string
+	Task    TaskID
+	Run     int
+	Payload string // of a start
+	Saved   string // checkpoint from which a start resumes
+	Ticket  string // of the advice service
+	Percent int    // of a pace order
+}
+
+// Result is the outcome of an order.
+type Result uint8
+
+// Outcomes of orders.
+const (
+	// ResultDone means that the worker did what it was told.
+	ResultDone Result = iota
+	// ResultRefused means that the worker did nothing and should be left alone for a moment.
+	ResultRefused
+	// ResultNoRoom means that the worker did nothing for want of room.
+	ResultNoRoom
+	// ResultOldRun means that the worker knows a run with the same or a greater number.
+	ResultOldRun
+	// ResultLate means that the order's lease had expired on arrival.
+	ResultLate
+	// ResultTicket means that the start's ticket is not valid.
+	ResultTicket
+	// ResultNoAnswer means that the order may have been carried out, or may be later.
+	ResultNoAnswer
+	// ResultInvalid means that the worker can never carry out the order.
+	ResultInvalid
+)
+
+func (p *Pool) order(o Order) { p.orders = append(p.orders, o) }
+
+// TakeOrders returns the orders to send.
+func (p *Pool) TakeOrders() []Order {
+	o := p.orders
+	p.orders = nil
+	return o
+}
+
+// start orders the start of a task.
+func (p *Pool) start(t *task, w *worker, now Time) {
+	number := max(p.cfg.RunBase, t.lastRun+1)
+	p.startRun(t, w, number, now)
+}
+
+func (p *Pool) startRun(t *task, w *worker, number int, now Time) {
+	r := p.attach(t, w, number, runStarting, now)
+	r.tries = 1
+	w.leaseUntil = max(w.leaseUntil, now.Steady+p.cfg.MaxLease)
+	p.event(Event{
+		Kind: "run ordered", Task: t.id, Run: number, Worker: w.info.ID, AgeMs: (now.Steady - t.readyAt).Milliseconds(),
+	})
+	p.sendStart(r)
+}
+
+func (p *Pool) sendStart(r *run) {
+	t := r.task
+	saved := ""
+	if t.step.Checkpointable {
+		saved = t.saved
+	}
+	p.order(Order{
+		Kind: OrderStart, Worker: r.worker.info.ID, Task: t.id, Run: r.number, Payload: t.job.spec.Payload, Saved: saved,
+	})
+}
+
+// stop orders the end of a run. The run keeps its room until the worker reports the end.
+func (p *Pool) stop(r *run, now Time) {
+	if r.state == runStopping {
+		return
+	}
+	r.state = runStopping
+	r.ordered = now.Steady
+	r.tries = 1
+	p.sendStop(r)
+}
+
+func (p *Pool) sendStop(r *run) {
+	p.order(Order{Kind: OrderStop, Worker: r.worker.info.ID, Task: r.task.id, Run: r.number})
+}
+
+// Started applies the outcome of a start order.
+func (p *Pool) Started(o Order, result Result, now Time) {
+	w := p.workers[o.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[o.Task]
+	if r == nil || r.number != o.Run || r.state != runStarting {
+		return
+	}
+	if result != ResultDone {
+		p.event(Event{Kind: "start failed", Task: o.Task, Run: o.Run, Worker: o.Worker, Count: int(result)})
+	}
+	switch result {
+	case ResultDone:
+		r.state = runActive
+		r.active = now.Steady
+	case ResultNoAnswer:
+		// Repeated by repeatOrders; the worker's reports may confirm it first.
+	case ResultOldRun:
+		r.task.lastRun += runGap
+		p.release(r, now)
+	case ResultRefused, ResultNoRoom, ResultLate, ResultTicket:
+		w.distrusted = max(w.distrusted, now.Steady+refusedPause)
+		p.release(r, now)
+	case ResultInvalid:
+		p.release(r, now)
+		p.finish(r.task.job, Failed, now)
+	}
+}
+
+// Stopped applies the outcome of a stop order. After a confirmed stop the run cannot begin any more, so that a start
+// without an answer is settled by the next report.
+func (p *Pool) Stopped(o Order, result Result, now Time) {
+	w := p.workers[o.Worker]
+	if w == nil || result != ResultDone {
+		return
+	}
+	if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.active == 0 {
+		r.active = now.Steady
+	}
+}
+
+// repeatOrders sends orders again that had no effect yet.
+func (p *Pool) repeatOrders(now Time) {
+	for _, w := range p.sortedWorkers() {
+		for _, r := range w.sortedRuns() {
+			if r.state == runActive || now.Steady-r.ordered < repeatAfter {
+				continue
+			}
+			p.repeat(r, now)
+		}
+	}
+}
+
+func (p *Pool) repeat(r *run, now Time) {
+	if r.state == runStarting && r.tries >= maxStartTries {
+		p.stop(r, now)
+		return
+	}
+	r.ordered = now.Steady
+	r.tries++
+	if r.state == runStopping {
+		p.sendStop(r)
+		return
+	}
+	p.sendStart(r)
+}
--- /dev/null
+++ b/job/place.go
@@ -0,0 +1,187 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// pass is one round of placement.
+type pass struct {
+	pool   *Pool
+	usable []*worker
+	racks  map[string]bool // racks of usable workers
+	// tooLarge holds requests for which no worker had room in this pass; what needs as much is not tried again.
+	tooLarge []Resources
+}
+
+func newPass(p *Pool, now Time) *pass {
+	ps := &pass{pool: p, racks: make(map[string]bool)}
+	for _, w := range p.sortedWorkers() {
+		if w.usable(now) {
+			ps.usable = append(ps.usable, w)
+			ps.racks[w.info.Rack] = true
+		}
+	}
+	return ps
+}
+
+// place chooses a worker for a task, or nil when there is no room.
+func (ps *pass) place(t *task, now Time) *worker {
+	s := t.step
+	need := s.reserved()
+	if ps.hopeless(need) {
+		return nil
+	}
+	waitForRack := ps.waitForRack(t, now)
+	var best *worker
+	bestScore := 0.0
+	fits := false
+	for _, w := range ps.usable {
+		if !need.Fits(w.free()) {
+			continue
+		}
+		fits = true
+		if !permits(s, t, w) || (waitForRack && w.info.Rack != s.DataRack) {
+			continue
+		}
+		score := ps.score(t, w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if !fits {
+		ps.tooLarge = append(ps.tooLarge, need)
+	}
+	return best
+}
+
+// hopeless tells whether no worker had room for a request that is not larger.
+func (ps *pass) hopeless(need Resources) bool {
+	for _, r := range ps.tooLarge {
+		if r.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// permits tells whether the step's own conditions allow a worker.
+func permits(s *Step, t *task, w *worker) bool {
+	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
+		return false
+	}
+	return s.MaxPerWorker == 0 || w.tasksOf(t) < s.MaxPerWorker
+}
+
+// tasksOf counts the tasks of the same step and occurrence on a worker.
+func (w *worker) tasksOf(t *task) int {
+	n := 0
+	for id := range w.runs {
+		if id.Job == t.id.Job && id.Occurrence == t.id.Occurrence && id.Step == t.id.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// waitForRack tells whether a task should wait for room on the rack of its data: for as long as it would lose elsewhere.
+func (ps *pass) waitForRack(t *task, now Time) bool {
+	s := t.step
+	if s.DataRack == "" || !ps.racks[s.DataRack] {
+		return false
+	}
+	run := ps.pool.estimates.duration(t.job.spec.Queue, s)
+	loss := time.Duration(float64(run) * (ps.pool.cfg.RackFactor - 1))
+	return now.Steady-t.readyAt < loss
+}
+
+// score rates a worker for a task; the greatest is chosen.
+func (ps *pass) score(t *task, w *worker) float64 {
+	s := t.step
+	share := w.used.Add(s.reserved()).Share(w.info.Capacity)
+	score := 0.0
+	if s.DataRack != "" && w.info.Rack == s.DataRack {
+		score += 100
+	}
+	switch {
+	case s.Fills:
+		// Filling tasks get what others leave, and they disturb serving tasks.
+		score += 10*(1-share) - 5*float64(w.serving())
+	case s.Lasting:
+		// Lasting tasks are spread, so that the loss of a worker takes few of a step.
+		score += 10*(1-share) - 20*float64(w.tasksOf(t)) - 2*float64(ps.onRack(t, w.info.Rack))
+	default:
+		// Short tasks are packed, which keeps room for large ones.
+		score += share
+	}
+	return score
+}
+
+// serving counts the tasks on a worker whose latency has a bound.
+func (w *worker) serving() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step.Target > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// onRack counts the tasks of the same step on a rack.
+func (ps *pass) onRack(t *task, rack string) int {
+	n := 0
+	for _, o := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
+		if o.run != nil && o.run.worker.info.Rack == rack {
+			n++
+		}
+	}
+	return n
+}
+
+// placeGang chooses workers for all tasks of a gang, on one rack if the step asks for it and a rack has room. It returns
+// nil when there is no room for all.
+func (ps *pass) placeGang(tasks []*task, _ Time) []*worker {
+	if tasks[0].step.SameRack {
+		for rack := range ps.racks {
+			if chosen := ps.placeAll(tasks, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return ps.placeAll(tasks, "")
+}
+
+// placeAll places tasks first-fit on the workers of a rack, or on all workers for "".
+func (ps *pass) placeAll(tasks []*task, rack string) []*worker {
+	chosen := make([]*worker, 0, len(tasks))
+	taken := make(map[*worker]Resources)
+	counts := make(map[*worker]int)
+	step := tasks[0].step
+	for _, t := range tasks {
+		w := ps.firstFit(t, rack, taken, counts)
+		if w == nil {
+			return nil
+		}
+		taken[w] = taken[w].Add(step.reserved())
+		counts[w]++
+		chosen = append(chosen, w)
+	}
+	return chosen
+}
+
+func (ps *pass) firstFit(t *task, rack string, taken map[*worker]Resources, counts map[*worker]int) *worker {
+	s := t.step
+	for _, w := range ps.usable {
+		if rack != "" && w.info.Rack != rack {
+			continue
+		}
+		if s.MaxPerWorker > 0 && counts[w] >= s.MaxPerWorker {
+			continue
+		}
+		if permits(s, t, w) && s.reserved().Add(taken[w]).Fits(w.free()) {
+			return w
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/job/pool.go
@@ -0,0 +1,298 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Config holds the bounds of a Pool.
+type Config struct {
+	Pool string
+	// RunBase is the least number of the runs that this owner starts. A later owner needs a greater base than the numbers
+	// that an earlier one used.
+	RunBase int
+	// MaxLease is how long after an order a worker may keep tasks alive, in the owner's time, with clock drift.
+	MaxLease time.Duration
+	// InheritedLease is how long after the takeover a worker that could not be looked at may keep tasks of an earlier owner.
+	InheritedLease time.Duration
+	// KeepFinished is how long the state of a finished job stays known.
+	KeepFinished time.Duration
+	// RackFactor is how much longer a task takes away from its data.
+	RackFactor float64
+}
+
+// Pool is the job manager's state for one pool of workers. It is not safe for concurrent use.
+type Pool struct {
+	cfg     Config
+	jobs    map[string]*jobState
+	workers map[string]*worker
+	orders  []Order
+	dirty   map[string]*jobState
+	// workerRecords holds changes of the stored set of workers.
+	workerRecords map[string]Record
+	committing    bool
+	endsPending   bool // ends of tasks of unknown jobs wait for being forgotten
+	begin         Time
+	estimates     estimates
+	load          loadWindow
+	events        []Event
+}
+
+// runState is what the owner knows of a run.
+type runState uint8
+
+const (
+	runStarting runState = iota // ordered, not confirmed
+	runActive                   // confirmed by an answer or a report
+	runStopping                 // a stop is ordered
+)
+
+// run is one start of a task on a worker.
+type run struct {
+	task     *task
+	number   int
+	worker   *worker
+	state    runState
+	ordered  time.Duration // time of the last order about the run
+	tries    int           // starts or stops sent
+	active   time.Duration // since when it is known to run
+	saved    string        // last reported checkpoint
+	progress int           // last reported progress in percent
+	share    int           // percentage at which the task may work, as last ordered
+	usage    int64         // last reported use, or tail latency in milliseconds
+}
+
+// task is one unit of work.
+type task struct {
+	job      *jobState
+	id       TaskID
+	step     *Step
+	done     bool
+	failures int
+	lastRun  int // greatest number of a run that ended or was ordered
+	endedRun int // greatest number of a run whose end was counted
+	saved    string
+	run      *run
+	// inherited tasks may run on a worker that this owner could not look at yet.
+	inherited bool
+	waitUntil time.Duration // not started before
+	readyAt   time.Duration // since when it could start
+	missing   time.Duration // since when a lasting task is not at work
+}
+
+// occurrence is one execution of a job's steps.
+type occurrence struct {
+	number int
+	steps  [][]*task
+	open   []int // tasks of each step that are not done
+	left   int   // tasks that are not done
+}
+
+// jobState is a job and its progress.
+type jobState struct {
+	spec          *Spec
+	phase         Phase
+	shown         Phase // as stored
+	stored        bool  // the specification is stored
+	started       bool
+	endMs         int64
+	accepted      time.Duration
+	first         int // least occurrence that is not done
+	next          int // least occurrence that is not yet due
+	occurrences   map[int]*occurrence
+	dirtySpec     bool
+	dirtyProgress bool
+	removed       bool // to be deleted from the store
+}
+
+// New returns an empty pool.
+func New(cfg Config, now Time) *Pool {
+	return &Pool{
+		cfg:           cfg,
+		jobs:          make(map[string]*jobState),
+		workers:       make(map[string]*worker),
+		dirty:         make(map[string]*jobState),
+		workerRecords: make(map[string]Record),
+		begin:         now,
+		estimates:     newEstimates(),
+	}
+}
+
+// Load adds the stored jobs and workers of the pool. It is called once, before any other event.
+func (p *Pool) Load(l *Loaded, now Time) {
+	for _, lj := range l.Specs {
+		if lj.Spec.Pool != p.cfg.Pool {
+			continue
+		}
+		p.loadJob(lj, now)
+	}
+	for _, info := range l.Workers[p.cfg.Pool] {
+		w := p.addWorker(info, now)
+		w.listed = false
+		w.stored = true
+	}
+}
+
+func (p *Pool) loadJob(lj LoadedJob, now Time) {
+	j := &jobState{
+		spec: lj.Spec, phase: lj.Phase, shown: lj.Phase, stored: true, endMs: lj.EndMs,
+		accepted:    now.Steady - time.Duration(now.WallMs-lj.Spec.AcceptedMs)*time.Millisecond,
+		first:       lj.progress.First,
+		next:        lj.progress.First,
+		occurrences: make(map[int]*occurrence),
+	}
+	p.jobs[lj.Spec.ID] = j
+	if j.phase != Active {
+		return
+	}
+	p.openDue(j, now)
+	for _, r := range lj.progress.Tasks {
+		t := p.task(TaskID{Job: j.spec.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
+		if t == nil {
+			continue
+		}
+		t.failures, t.lastRun, t.endedRun, t.saved = r.Failures, r.LastRun, r.LastRun, r.Saved
+		if r.Done {
+			p.setDone(t)
+		}
+	}
+	for _, o := range j.occurrences {
+		o.each(func(t *task) { t.inherited = true })
+	}
+}
+
+func (o *occurrence) each(f func(*task)) {
+	for _, step := range o.steps {
+		for _, t := range step {
+			f(t)
+		}
+	}
+}
+
+// openDue creates the occurrences that are due.
+func (p *Pool) openDue(j *jobState, now Time) {
+	total := max(1, j.spec.Occurrences)
+	for j.next < total {
+		if j.spec.Occurrences > 0 && now.WallMs < j.spec.StartMs+int64(j.next)*j.spec.IntervalMs {
+			return
+		}
+		j.occurrences[j.next] = newOccurrence(j, j.next, now)
+		j.next++
+	}
+}
+
+func newOccurrence(j *jobState, number int, now Time) *occurrence {
+	o := &occurrence{number: number, open: make([]int, len(j.spec.Steps))}
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		tasks := make([]*task, step.Count)
+		for k := range tasks {
+			id := TaskID{Job: j.spec.ID, Occurrence: number, Step: i, Index: k}
+			tasks[k] = &task{job: j, id: id, step: step, readyAt: now.Steady}
+		}
+		o.steps = append(o.steps, tasks)
+		o.open[i] = step.Count
+		o.left += step.Count
+	}
+	return o
+}
+
+// task returns a task that is known, or nil.
+func (p *Pool) task(id TaskID) *task {
+	j := p.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step]) {
+		return nil
+	}
+	return o.steps[id.Step][id.Index]
+}
+
+// ready tells whether all steps on which a step depends are done.
+func (o *occurrence) ready(s *Step) bool {
+	for _, d := range s.DependsOn {
+		if o.open[d] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) markDirty(j *jobState) {
+	j.dirtyProgress = true
+	p.dirty[j.spec.ID] = j
+}
+
+// setDone marks a task as done and finishes its occurrence and job when it was the last.
+func (p *Pool) setDone(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	o := t.job.occurrences[t.id.Occurrence]
+	o.open[t.id.Step]--
+	o.left--
+}
+
+// finishDone moves a job past occurrences that are done, and completes it after the last.
+func (p *Pool) finishDone(j *jobState, now Time) {
+	for j.first < j.next && (j.occurrences[j.first] == nil || j.occurrences[j.first].left == 0) {
+		delete(j.occurrences, j.first)
+		j.first++
+	}
+	if j.phase == Active && j.first >= max(1, j.spec.Occurrences) {
+		p.finish(j, Completed, now)
+	}
+}
+
+// finish ends a job.
+func (p *Pool) finish(j *jobState, phase Phase, now Time) {
+	j.phase = phase
+	j.endMs = now.WallMs
+	j.dirtySpec = true
+	j.dirtyProgress = true
+	p.dirty[j.spec.ID] = j
+	p.event(Event{Kind: "job " + string(phase), Job: j.spec.ID, AgeMs: (now.Steady - j.accepted).Milliseconds()})
+}
+
+// Tick advances the pool: it opens due occurrences, ends runs on workers whose lease has expired, repeats orders,
+// schedules waiting tasks and forgets old jobs.
+func (p *Pool) Tick(now Time) {
+	p.expire(now)
+	for id, j := range p.jobs {
+		p.tickJob(id, j, now)
+	}
+	p.repeatOrders(now)
+	p.evacuate(now)
+	p.pace(now)
+	p.schedule(now)
+}
+
+func (p *Pool) tickJob(id string, j *jobState, now Time) {
+	if j.phase == Active && j.stored {
+		p.openDue(j, now)
+		p.finishDone(j, now)
+		return
+	}
+	if j.phase != Active && j.shown == j.phase && j.occurrences != nil && !j.running() {
+		j.occurrences = nil
+		j.spec = storedSpec(j)
+	}
+	if j.phase != Active && j.shown == j.phase && now.WallMs-j.endMs > p.cfg.KeepFinished.Milliseconds() {
+		j.removed = true
+		p.dirty[id] = j
+	}
+}
+
+// sortedWorkers returns the workers by identifier, so that decisions do not depend on the order of a map.
+func (p *Pool) sortedWorkers() []*worker {
+	ws := make([]*worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		ws = append(ws, w)
+	}
+	slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return ws
+}
--- /dev/null
+++ b/job/record.go
@@ -0,0 +1,155 @@
+package job
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Phase is the state of a whole job.
+type Phase string
+
+// Phases of a job.
+const (
+	Active    Phase = "active"
+	Completed Phase = "completed"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Prefixes of the keys of stored records.
+const (
+	keySpec     = "s/"
+	keyProgress = "p/"
+	keyWorker   = "w/"
+)
+
+// Record is a stored value. An empty value removes the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// specRecord is the value of a specification key. It stays, without its steps, until the state of a finished job need not
+// be known any more.
+type specRecord struct {
+	Phase Phase `cbor:"1,keyasint"`
+	Spec  *Spec `cbor:"2,keyasint"`
+	EndMs int64 `cbor:"3,keyasint,omitempty"` // Unix time at which the job left phase Active
+}
+
+// taskRecord is the stored progress of one task.
+type taskRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Done       bool
+	Failures   int
+	LastRun    int
+	Saved      string
+}
+
+// progressRecord is the value of a progress key. First is the first occurrence that is not done.
+type progressRecord struct {
+	First int          `cbor:"1,keyasint,omitempty"`
+	Tasks []taskRecord `cbor:"2,keyasint,omitempty"`
+}
+
+// workerRecord is the value of a worker key: a worker on which the owner may have started tasks.
+type workerRecord struct {
+	Pool string     `cbor:"1,keyasint"`
+	Info WorkerInfo `cbor:"2,keyasint"`
+}
+
+func encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		// The record types contain only types that CBOR can encode.
+		panic(errors.Wrap(err, "encoding a job record"))
+	}
+	return b
+}
+
+// WorkerInfo is what the directory says of a worker.
+type WorkerInfo struct {
+	ID       string    `cbor:"1,keyasint"`
+	Addr     string    `cbor:"2,keyasint"`
+	Zone     string    `cbor:"3,keyasint,omitempty"`
+	Rack     string    `cbor:"4,keyasint,omitempty"`
+	Labels   []string  `cbor:"5,keyasint,omitempty"`
+	Capacity Resources `cbor:"6,keyasint"`
+	Draining bool      `cbor:"7,keyasint,omitempty"`
+	// Guards states that the worker itself refuses tasks for which it has no room.
+	Guards bool `cbor:"8,keyasint,omitempty"`
+}
+
+// Time is a moment on two clocks.
+type Time struct {
+	Steady time.Duration // since an arbitrary origin, includes the time for which the machine was suspended
+	WallMs int64         // Unix time
+}
+
+// Loaded is a set of stored records that a new owner read.
+type Loaded struct {
+	Specs    []LoadedJob
+	Workers  map[string][]WorkerInfo // by pool
+	Problems []error                 // records that could not be decoded; they are skipped
+}
+
+// LoadedJob is a stored job with its progress.
+type LoadedJob struct {
+	Phase    Phase
+	Spec     *Spec
+	EndMs    int64
+	progress progressRecord
+}
+
+// Decode decodes stored records.
+func Decode(records []Record) *Loaded {
+	l := &Loaded{Workers: make(map[string][]WorkerInfo)}
+	progress := make(map[string]progressRecord)
+	for _, r := range records {
+		if err := l.add(r, progress); err != nil {
+			l.Problems = append(l.Problems, errors.Wrapf(err, "record %q", r.Key))
+		}
+	}
+	for i := range l.Specs {
+		l.Specs[i].progress = progress[l.Specs[i].Spec.ID]
+	}
+	return l
+}
+
+func (l *Loaded) add(r Record, progress map[string]progressRecord) error {
+	if len(r.Key) < 2 {
+		return errors.New("unknown key")
+	}
+	prefix, rest := r.Key[:2], r.Key[2:]
+	switch prefix {
+	case keySpec:
+		var v specRecord
+		if err := cbor.Unmarshal(r.Value, &v); err != nil {
+			return err
+		}
+		if v.Spec == nil || v.Spec.ID != rest {
+			return errors.New("the specification is missing or has another identifier")
+		}
+		l.Specs = append(l.Specs, LoadedJob{Phase: v.Phase, Spec: v.Spec, EndMs: v.EndMs})
+	case keyProgress:
+		var v progressRecord
+		if err := cbor.Unmarshal(r.Value, &v); err != nil {
+			return err
+		}
+		progress[rest] = v
+	case keyWorker:
+		var v workerRecord
+		if err := cbor.Unmarshal(r.Value, &v); err != nil {
+			return err
+		}
+		l.Workers[v.Pool] = append(l.Workers[v.Pool], v.Info)
+	default:
+		return errors.New("unknown key")
+	}
+	return nil
+}
--- /dev/null
+++ b/job/report.go
@@ -0,0 +1,199 @@
+package job
+
+import (
+	"cmp"
+	"time"
+)
+
+// adoptedShare is assumed of a run that another owner started. It is below 100, so that a task which was slowed down is
+// sped up again.
+const adoptedShare = 80
+
+// End is how a run ended.
+type End string
+
+// Ends of runs.
+const (
+	EndDone    End = "done"
+	EndFailed  End = "failed"  // through the task's own fault or the worker's
+	EndStopped End = "stopped" // as ordered
+	EndLapsed  End = "lapsed"  // the worker's lease expired
+	EndBroken  End = "broken"  // another member of the gang ended
+	EndAlone   End = "alone"   // the other members of the gang did not come
+)
+
+// RunningTask is a run that a worker reports as running.
+type RunningTask struct {
+	Task  TaskID
+	Run   int
+	Saved string // latest checkpoint, "" if there is none
+	// Progress is in percent. A lasting task is at work at 100.
+	Progress int
+	Usage    int64 // tail latency in milliseconds of a serving task, else thousandths of a core in use
+}
+
+// EndedTask is a run that a worker reports as ended.
+type EndedTask struct {
+	Number int64 // rises within a life of the worker
+	Task   TaskID
+	Run    int
+	How    End
+	Saved  string
+}
+
+// Report is what a worker says about itself.
+type Report struct {
+	Worker  string
+	Born    int64         // Unix milliseconds of the start of the worker's life
+	SentAt  time.Duration // when the request for the report was sent
+	Running []RunningTask
+	Ended   []EndedTask // by rising number
+	Leaving bool        // the worker drains
+}
+
+// Report applies a worker's report.
+func (p *Pool) Report(rep Report, now Time) {
+	w := p.workers[rep.Worker]
+	if w == nil || rep.Born < w.born {
+		return
+	}
+	if w.born != 0 && rep.Born != w.born {
+		p.event(Event{Kind: "worker reborn", Worker: w.info.ID})
+		p.endRuns(w, "worker reborn", now)
+		p.newLife(w, rep.Born)
+	}
+	w.born = rep.Born
+	if !w.looked {
+		p.event(Event{Kind: "worker adopted", Worker: w.info.ID, Count: len(rep.Running)})
+	}
+	w.looked = true
+	w.lastLook = max(w.lastLook, rep.SentAt)
+	w.leaving = w.leaving || rep.Leaving
+	for _, e := range rep.Ended {
+		if e.Number <= w.processed {
+			continue
+		}
+		w.processed = e.Number
+		p.endsPending = true
+		p.ended(w, e, now)
+	}
+	p.compareRunning(w, rep, now)
+}
+
+// compareRunning updates the runs on a worker from its report.
+func (p *Pool) compareRunning(w *worker, rep Report, now Time) {
+	seen := make(map[TaskID]bool, len(rep.Running))
+	for _, rt := range rep.Running {
+		seen[rt.Task] = true
+		p.seenRunning(w, rt, now)
+	}
+	for _, r := range w.sortedRuns() {
+		// A start without a confirmation may still be on its way, and an earlier report does not know of it.
+		if seen[r.task.id] || r.active == 0 || r.active >= rep.SentAt {
+			continue
+		}
+		p.event(Event{Kind: "run lost", Task: r.task.id, Run: r.number, Worker: w.info.ID, Why: "not reported"})
+		p.release(r, now)
+	}
+}
+
+// seenRunning applies one running task of a report.
+func (p *Pool) seenRunning(w *worker, rt RunningTask, now Time) {
+	r := w.runs[rt.Task]
+	if r != nil && r.number == rt.Run {
+		if r.active == 0 {
+			r.active = now.Steady
+		}
+		if r.state == runStarting {
+			r.state = runActive
+		}
+		r.saved, r.progress, r.usage = rt.Saved, rt.Progress, rt.Usage
+		return
+	}
+	t := p.task(rt.Task)
+	if t == nil || t.done || t.run != nil || t.job.phase != Active {
+		p.order(Order{Kind: OrderStop, Worker: w.info.ID, Task: rt.Task, Run: rt.Run})
+		p.event(Event{Kind: "stray run stopped", Task: rt.Task, Run: rt.Run, Worker: w.info.ID})
+		return
+	}
+	r = p.attach(t, w, rt.Run, runActive, now)
+	r.active = now.Steady
+	r.share = adoptedShare
+	r.saved, r.progress, r.usage = rt.Saved, rt.Progress, rt.Usage
+}
+
+// ended applies the end of a run.
+func (p *Pool) ended(w *worker, e EndedTask, now Time) {
+	p.event(Event{Kind: "run ended", Task: e.Task, Run: e.Run, Worker: w.info.ID, Why: string(e.How)})
+	t := p.task(e.Task)
+	if t == nil {
+		return
+	}
+	r := t.run
+	own := r != nil && r.worker == w && r.number == e.Run
+	if own {
+		if e.How == EndDone {
+			p.estimates.observe(t, now.Steady-r.ordered)
+		}
+		p.release(r, now)
+	}
+	if t.done {
+		return
+	}
+	if e.Run > t.endedRun {
+		t.endedRun = e.Run
+		t.lastRun = max(t.lastRun, e.Run)
+		if e.How == EndFailed {
+			p.runFailed(t, w, now)
+		}
+	}
+	if e.Saved != "" && own {
+		t.saved = e.Saved
+	}
+	if e.How == EndDone && !t.step.Lasting {
+		p.taskDone(t, w, now)
+	}
+	p.markDirty(t.job)
+}
+
+// taskDone marks a task as done, stops another run of it and moves its job on.
+func (p *Pool) taskDone(t *task, w *worker, now Time) {
+	w.failures = 0
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.job.occurrences[t.id.Occurrence].steps[t.id.Step]
+	}
+	for _, m := range members {
+		if m.run != nil && m == t {
+			p.stop(m.run, now)
+		}
+		p.setDone(m)
+	}
+	p.finishDone(t.job, now)
+}
+
+// runFailed counts a failed run of a task and fails the job after the last attempt.
+func (p *Pool) runFailed(t *task, w *worker, now Time) {
+	t.failures++
+	if w.failed(t, now) {
+		p.event(Event{Kind: "worker distrusted", Worker: w.info.ID, Task: t.id})
+	}
+	if t.step.Lasting || t.job.phase != Active {
+		return
+	}
+	failures := t.failures
+	if t.step.Gang {
+		failures = 0
+		for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
+			failures += m.failures
+		}
+	}
+	if failures >= max(1, t.job.spec.Attempts) {
+		p.finish(t.job, Failed, now)
+	}
+}
+
+func compareTasks(a, b TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
--- /dev/null
+++ b/job/schedule.go
@@ -0,0 +1,141 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// precedence orders waiting work. Lasting jobs come first, because they earn for as long as they run. Jobs that can still
+// meet their objective come before those that can not, so that a flood does not make everything late.
+type precedence uint8
+
+const (
+	precedenceLasting precedence = iota
+	precedenceOnTime
+	precedenceLate
+)
+
+// waiting is an occurrence with tasks to start.
+type waiting struct {
+	job        *jobState
+	occurrence *occurrence
+	precedence precedence
+	latest     time.Duration // latest moment at which the rest must begin to meet the objective
+	remaining  time.Duration
+}
+
+// schedule starts waiting tasks where there is room.
+func (p *Pool) schedule(now Time) {
+	blocked := now.Steady < p.unlooked()
+	pass := newPass(p, now)
+	if len(pass.usable) == 0 {
+		return
+	}
+	for _, w := range p.queue(now) {
+		p.startOccurrence(w, pass, blocked, now)
+	}
+}
+
+// queue returns the occurrences with tasks to start in the order in which they get room.
+func (p *Pool) queue(now Time) []waiting {
+	var q []waiting
+	for _, j := range p.jobs {
+		if !j.stored || j.phase != Active {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.hasWaiting() {
+				q = append(q, p.rank(j, o, now))
+			}
+		}
+	}
+	slices.SortFunc(q, compareWaiting)
+	return q
+}
+
+func (p *Pool) rank(j *jobState, o *occurrence, now Time) waiting {
+	w := waiting{job: j, occurrence: o, precedence: precedenceOnTime}
+	if j.spec.lasting() {
+		w.precedence = precedenceLasting
+		return w
+	}
+	begin := j.accepted
+	if j.spec.Occurrences > 0 {
+		due := j.spec.StartMs + int64(o.number)*j.spec.IntervalMs
+		begin = now.Steady - time.Duration(now.WallMs-due)*time.Millisecond
+	}
+	w.remaining = p.remaining(j, o)
+	w.latest = begin + j.spec.objective() - w.remaining
+	if now.Steady > w.latest {
+		w.precedence = precedenceLate
+	}
+	return w
+}
+
+func compareWaiting(a, b waiting) int {
+	if c := cmp.Or(cmp.Compare(a.precedence, b.precedence), cmp.Compare(a.job.spec.Priority, b.job.spec.Priority)); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.latest, b.latest), cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		cmp.Compare(a.occurrence.number, b.occurrence.number))
+}
+
+func (o *occurrence) hasWaiting() bool {
+	for i, step := range o.steps {
+		if o.open[i] == 0 {
+			continue
+		}
+		for _, t := range step {
+			if !t.done && t.run == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// startOccurrence starts the tasks of an occurrence for which there is room.
+func (p *Pool) startOccurrence(w waiting, pass *pass, blocked bool, now Time) {
+	for i, tasks := range w.occurrence.steps {
+		step := &w.job.spec.Steps[i]
+		if w.occurrence.open[i] == 0 || !w.occurrence.ready(step) {
+			continue
+		}
+		if step.Gang {
+			p.startGang(tasks, pass, blocked, now)
+			continue
+		}
+		for _, t := range tasks {
+			if t.done || t.run != nil || (t.inherited && blocked) || now.Steady < t.waitUntil {
+				continue
+			}
+			if worker := pass.place(t, now); worker != nil {
+				p.start(t, worker, now)
+			}
+		}
+	}
+}
+
+// startGang starts all tasks of a step with one number, or none.
+func (p *Pool) startGang(tasks []*task, pass *pass, blocked bool, now Time) {
+	number := p.cfg.RunBase
+	saved := ""
+	for _, t := range tasks {
+		if t.done || t.run != nil || (t.inherited && blocked) {
+			return
+		}
+		number = max(number, t.lastRun+1)
+		if t.saved != "" {
+			saved = t.saved
+		}
+	}
+	chosen := pass.placeGang(tasks, now)
+	if chosen == nil {
+		return
+	}
+	for i, t := range tasks {
+		t.saved = saved
+		p.startRun(t, chosen[i], number, now)
+	}
+}
--- /dev/null
+++ b/job/spec.go
@@ -0,0 +1,205 @@
+package job
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of a submitted job. They bound the memory that one caller can occupy.
+const (
+	MaxSteps        = 64
+	MaxTasksPerStep = 1024
+	MaxSpecBytes    = 4000
+	MaxOccurrences  = 10_000
+)
+
+// Resources is an amount of processor time (thousandths of a core), memory and accelerators.
+type Resources struct {
+	CPU   int64 `cbor:"1,keyasint,omitempty"`
+	MemMB int64 `cbor:"2,keyasint,omitempty"`
+	GPU   int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{CPU: r.CPU + o.CPU, MemMB: r.MemMB + o.MemMB, GPU: r.GPU + o.GPU}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{CPU: r.CPU - o.CPU, MemMB: r.MemMB - o.MemMB, GPU: r.GPU - o.GPU}
+}
+
+// Fits tells whether r is at most o in every dimension.
+func (r Resources) Fits(o Resources) bool {
+	return r.CPU <= o.CPU && r.MemMB <= o.MemMB && r.GPU <= o.GPU
+}
+
+// Share returns the largest fraction of capacity that r takes in any dimension.
+func (r Resources) Share(capacity Resources) float64 {
+	share := 0.0
+	for _, d := range [...][2]int64{{r.CPU, capacity.CPU}, {r.MemMB, capacity.MemMB}, {r.GPU, capacity.GPU}} {
+		if d[1] > 0 {
+			share = max(share, float64(d[0])/float64(d[1]))
+		}
+	}
+	return share
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count     int           `cbor:"1,keyasint"`
+	Request   Resources     `cbor:"2,keyasint"` // of each task
+	Estimate  time.Duration `cbor:"3,keyasint,omitempty"`
+	DependsOn []int         `cbor:"4,keyasint,omitempty"` // steps that must be done first, counted from 0
+	// Checkpointable tasks can resume from a checkpoint.
+	Checkpointable bool `cbor:"5,keyasint,omitempty"`
+	// Gang tasks run and end together.
+	Gang     bool   `cbor:"6,keyasint,omitempty"`
+	SameRack bool   `cbor:"7,keyasint,omitempty"`
+	Label    string `cbor:"8,keyasint,omitempty"` // that a worker must have
+	DataRack string `cbor:"9,keyasint,omitempty"` // rack on which the step runs faster
+	// MaxPerWorker bounds the tasks of one occurrence of the step on one worker. Zero means no bound.
+	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	// Speculative permits parallel copies of a task.
+	Speculative bool `cbor:"11,keyasint,omitempty"`
+	// Lasting tasks run until the job is cancelled and are restarted however they end.
+	Lasting bool          `cbor:"12,keyasint,omitempty"`
+	Image   string        `cbor:"13,keyasint,omitempty"`
+	Target  time.Duration `cbor:"14,keyasint,omitempty"` // bound of the tail latency of a serving task
+	// Fills marks tasks whose processor request does not count against a worker's capacity.
+	Fills bool `cbor:"15,keyasint,omitempty"`
+	// MissBudget is how many tasks of a lasting step may be unavailable at once through planned actions.
+	MissBudget int `cbor:"16,keyasint,omitempty"`
+}
+
+// reserved is what a task of the step takes from a worker's capacity.
+func (s *Step) reserved() Resources {
+	r := s.Request
+	if s.Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Spec is a job as submitted.
+type Spec struct {
+	ID       string        `cbor:"1,keyasint"`
+	Queue    string        `cbor:"2,keyasint"`
+	Pool     string        `cbor:"3,keyasint"`
+	Priority int           `cbor:"4,keyasint,omitempty"` // 0 is the most urgent
+	Attempts int           `cbor:"5,keyasint"`           // failed runs of a task after which the job has failed
+	Slack    float64       `cbor:"6,keyasint,omitempty"` // objective as a multiple of the longest chain of work
+	Grace    time.Duration `cbor:"7,keyasint,omitempty"` // added to the objective
+	Payload  string        `cbor:"8,keyasint,omitempty"` // passed to each task
+	Steps    []Step        `cbor:"9,keyasint"`
+	// Occurrences is how often the steps run at set times. Zero means once, at once.
+	Occurrences int   `cbor:"10,keyasint,omitempty"`
+	StartMs     int64 `cbor:"11,keyasint,omitempty"` // Unix time of occurrence 0
+	IntervalMs  int64 `cbor:"12,keyasint,omitempty"`
+	AcceptedMs  int64 `cbor:"13,keyasint"` // Unix time
+	// Advised states that starts of the queue need a ticket of the advice service.
+	Advised bool `cbor:"14,keyasint,omitempty"`
+}
+
+// Validate returns an error that names the first field that is out of bounds.
+func (s *Spec) Validate() error {
+	if s.ID == "" || strings.ContainsAny(s.ID, "./") {
+		return errors.Errorf("job identifier %q is invalid", s.ID)
+	}
+	if len(s.Payload) > MaxSpecBytes {
+		return errors.Errorf("spec has %d bytes, more than %d", len(s.Payload), MaxSpecBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errors.Errorf("a job needs 1 to %d steps, not %d", MaxSteps, len(s.Steps))
+	}
+	if s.Occurrences < 0 || s.Occurrences > MaxOccurrences || s.IntervalMs < 0 {
+		return errors.New("the schedule is out of bounds")
+	}
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return errors.Wrapf(err, "step %d", i)
+		}
+	}
+	return nil
+}
+
+func (s *Step) validate(number int) error {
+	if s.Count < 1 || s.Count > MaxTasksPerStep {
+		return errors.Errorf("count must be 1 to %d, not %d", MaxTasksPerStep, s.Count)
+	}
+	if s.Request.CPU < 0 || s.Request.MemMB < 0 || s.Request.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 {
+		return errors.New("negative amount")
+	}
+	for _, d := range s.DependsOn {
+		// Only earlier steps are permitted, so a job has no cycles.
+		if d < 0 || d >= number {
+			return errors.Errorf("dependsOn names step %d, which is not an earlier step", d)
+		}
+	}
+	return nil
+}
+
+// lasting tells whether the job runs until it is cancelled.
+func (s *Spec) lasting() bool {
+	for i := range s.Steps {
+		if s.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// chain returns the longest chain of estimated work.
+func (s *Spec) chain() time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(s.Steps))
+	for i := range s.Steps {
+		var begin time.Duration
+		for _, d := range s.Steps[i].DependsOn {
+			begin = max(begin, ends[d])
+		}
+		ends[i] = begin + s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// TaskID names a task: an index within a step of an occurrence of a job.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the form JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	b := make([]byte, 0, len(t.Job)+12)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// ParseTaskID parses the form of String.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, errors.Errorf("task name %q does not have the form JOB.OCCURRENCE.STEP.INDEX", s)
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return TaskID{}, errors.Errorf("task name %q: %q is not a number from 0", s, parts[i+1])
+		}
+		n[i] = v
+	}
+	return TaskID{Job: parts[0], Occurrence: n[0], Step: n[1], Index: n[2]}, nil
+}
--- /dev/null
+++ b/job/submit.go
@@ -0,0 +1,98 @@
+package job
+
+import "time"
+
+// State is what a caller sees of a job.
+type State string
+
+// States of a job as callers see them.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Answer is the outcome of a submission or a cancellation.
+type Answer uint8
+
+const (
+	// Pending means that the answer follows when the next commit is stored.
+	Pending Answer = iota
+	// Accepted means that the job, or its cancellation, is already stored.
+	Accepted
+	// Refused means that the job was not accepted and never runs.
+	Refused
+	// Unknown means that there is no such job.
+	Unknown
+)
+
+// Submit adds a job. A job with a known identifier is not added again. For Refused the duration says when room is
+// expected.
+func (p *Pool) Submit(s *Spec, now Time) (Answer, time.Duration) {
+	if j := p.jobs[s.ID]; j != nil && !j.removed {
+		if j.stored {
+			return Accepted, 0
+		}
+		return Pending, 0
+	}
+	if wait := p.overload(s, now); wait > 0 {
+		p.event(Event{Kind: "job refused", Job: s.ID, Queue: s.Queue, AgeMs: wait.Milliseconds()})
+		return Refused, wait
+	}
+	j := &jobState{
+		spec: s, phase: Active, shown: Active, accepted: now.Steady, dirtySpec: true,
+		occurrences: make(map[int]*occurrence),
+	}
+	p.jobs[s.ID] = j
+	p.dirty[s.ID] = j
+	p.event(Event{Kind: "job submitted", Job: s.ID, Queue: s.Queue})
+	return Pending, 0
+}
+
+// Cancel ends a job. A job that has ended already keeps its state.
+func (p *Pool) Cancel(id string, now Time) Answer {
+	j := p.jobs[id]
+	if j == nil || j.removed {
+		return Unknown
+	}
+	if j.phase == Active {
+		p.finish(j, Cancelled, now)
+	}
+	if j.shown == j.phase && j.stored {
+		return Accepted
+	}
+	return Pending
+}
+
+// StateOf returns the state of a job as stored. The second result is false when there is no such job.
+func (p *Pool) StateOf(id string) (State, bool) {
+	j := p.jobs[id]
+	if j == nil || !j.stored || j.removed {
+		return "", false
+	}
+	switch j.shown {
+	case Completed:
+		return StateCompleted, true
+	case Failed:
+		return StateFailed, true
+	case Cancelled:
+		return StateCancelled, true
+	}
+	if j.started {
+		return StateRunning, true
+	}
+	return StateQueued, true
+}
+
+// Waiting counts the accepted jobs of a queue of which no task has started.
+func (p *Pool) Waiting(queue string) int {
+	n := 0
+	for _, j := range p.jobs {
+		if j.spec.Queue == queue && j.stored && j.phase == Active && !j.started {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/job/upkeep.go
@@ -0,0 +1,131 @@
+package job
+
+import "time"
+
+const (
+	// atWorkProgress is the reported progress of a lasting task that is at work.
+	atWorkProgress = 100
+	// paceEvery is the least time between changes of the shares on a worker; a change shows after about half a second.
+	paceEvery = 600 * time.Millisecond
+	// paceAbove and paceBelow are the fractions of a latency target above which filling tasks are slowed down, and below
+	// which they are sped up.
+	paceAbove = 0.85
+	paceBelow = 0.55
+	// paceUp is the percentage by which a filling task is sped up in one change.
+	paceUp = 20
+)
+
+// Evacuate starts or ends the evacuation of a worker before planned maintenance. Lasting tasks move within their budgets,
+// checkpointable ones move at once, and others are left to end.
+func (p *Pool) Evacuate(id string, on bool) {
+	if w := p.workers[id]; w != nil {
+		w.evacuating = on
+	}
+}
+
+// Empty tells whether nothing runs on a worker and nothing can start there.
+func (p *Pool) Empty(id string) bool {
+	w := p.workers[id]
+	return w == nil || (w.evacuating && len(w.runs) == 0)
+}
+
+// evacuate moves tasks away from workers that leave or are about to be maintained.
+func (p *Pool) evacuate(now Time) {
+	for _, w := range p.sortedWorkers() {
+		leaving := w.leaving || w.info.Draining
+		if !leaving && !w.evacuating {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			if r.state == runActive && p.mayMove(r, leaving, now) {
+				p.event(Event{Kind: "run evacuated", Task: r.task.id, Run: r.number, Worker: w.info.ID})
+				p.stop(r, now)
+			}
+		}
+	}
+}
+
+// mayMove tells whether a run may be stopped now to leave its worker.
+func (p *Pool) mayMove(r *run, leaving bool, now Time) bool {
+	s := r.task.step
+	if !s.Lasting {
+		return s.Checkpointable && !s.Gang
+	}
+	if leaving {
+		return true
+	}
+	return p.within(r.task) && p.roomElsewhere(r, now)
+}
+
+// within tells whether one more task of a lasting step may be unavailable.
+func (p *Pool) within(t *task) bool {
+	if t.step.MissBudget == 0 {
+		return true
+	}
+	away := 0
+	for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
+		if m != t && !m.atWork() {
+			away++
+		}
+	}
+	return away < t.step.MissBudget
+}
+
+func (t *task) atWork() bool {
+	r := t.run
+	return r != nil && r.state == runActive && r.progress >= atWorkProgress
+}
+
+// roomElsewhere tells whether another worker could take the task of a run.
+func (p *Pool) roomElsewhere(r *run, now Time) bool {
+	for _, w := range p.workers {
+		if w != r.worker && w.usable(now) && permits(r.task.step, r.task, w) && r.task.step.reserved().Fits(w.free()) {
+			return true
+		}
+	}
+	return false
+}
+
+// pace slows filling tasks down where a serving task nears its latency target, and speeds them up where there is room.
+func (p *Pool) pace(now Time) {
+	for _, w := range p.sortedWorkers() {
+		if now.Steady-w.paced < paceEvery || now.Steady-w.lastLook > answerWithin {
+			continue
+		}
+		worst := w.worstLatency()
+		for _, r := range w.sortedRuns() {
+			if !r.task.step.Fills || r.state != runActive {
+				continue
+			}
+			if percent := nextPercent(r.share, worst); percent != r.share {
+				w.paced = now.Steady
+				r.share = percent
+				p.order(Order{Kind: OrderPace, Worker: w.info.ID, Task: r.task.id, Run: r.number, Percent: percent})
+				p.event(Event{Kind: "run paced", Task: r.task.id, Run: r.number, Worker: w.info.ID, Count: percent})
+			}
+		}
+	}
+}
+
+// worstLatency returns the greatest tail latency of a serving task as a fraction of its target.
+func (w *worker) worstLatency() float64 {
+	worst := 0.0
+	for _, r := range w.runs {
+		if target := r.task.step.Target.Milliseconds(); target > 0 && !r.task.step.Fills {
+			worst = max(worst, float64(r.usage)/float64(target))
+		}
+	}
+	return worst
+}
+
+func nextPercent(percent int, worst float64) int {
+	switch {
+	case worst > 1:
+		return 0
+	case worst > paceAbove:
+		return percent / 2
+	case worst < paceBelow:
+		return min(100, percent+paceUp)
+	}
+	return percent
+}
--- /dev/null
+++ b/jobmanager/log.go
@@ -0,0 +1,114 @@
+package jobmanager
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylwharf/berylwharf/job"
+)
+
+// logRing bounds the lines that wait to be written. Later ones are dropped and counted, so that logging never blocks.
+const logRing = 4096
+
+// LogEvent is one line of the log. Fields that are zero are left out.
+type LogEvent struct {
+	Part   string // prefix
+	What   string
+	Node   string
+	Job    string
+	Queue  string
+	Pool   string
+	Task   string
+	Run    int
+	Worker string
+	Shard  int
+	Epoch  int64 // or version
+	Why    string
+	AgeMs  int64
+	Count  int
+}
+
+// Log writes structured lines from its own goroutine.
+type Log struct {
+	logger  *logrus.Logger
+	ring    chan LogEvent
+	dropped atomic.Int64
+	node    string
+	wg      sync.WaitGroup
+}
+
+// NewLog returns a log that writes JSON lines to out.
+func NewLog(out io.Writer, node string) *Log {
+	l := &Log{logger: logrus.New(), ring: make(chan LogEvent, logRing), node: node}
+	l.logger.SetOutput(out)
+	l.logger.SetFormatter(&logrus.JSONFormatter{})
+	l.wg.Go(l.write)
+	return l
+}
+
+// Event queues a line. It never blocks.
+func (l *Log) Event(e LogEvent) {
+	select {
+	case l.ring <- e:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Close writes what is queued and ends.
+func (l *Log) Close() {
+	close(l.ring)
+	l.wg.Wait()
+}
+
+func (l *Log) write() {
+	for e := range l.ring {
+		if n := l.dropped.Swap(0); n > 0 {
+			l.logger.WithFields(logrus.Fields{"node": l.node, "count": n}).Warn("log: lines dropped")
+		}
+		l.logger.WithFields(l.fields(e)).Info(e.Part + ": " + e.What)
+	}
+}
+
+func (l *Log) fields(e LogEvent) logrus.Fields {
+	f := logrus.Fields{"node": l.node}
+	set := func(key, value string) {
+		if value != "" {
+			f[key] = value
+		}
+	}
+	number := func(key string, value int64) {
+		if value != 0 {
+			f[key] = value
+		}
+	}
+	set("job", e.Job)
+	set("queue", e.Queue)
+	set("pool", e.Pool)
+	set("task", e.Task)
+	set("worker", e.Worker)
+	set("why", e.Why)
+	number("run", int64(e.Run))
+	number("shard", int64(e.Shard))
+	number("epoch", e.Epoch)
+	number("ageMs", e.AgeMs)
+	number("count", int64(e.Count))
+	return f
+}
+
+// logJob writes an event of a pool.
+func (n *Node) logJob(pool string, epoch int64, e job.Event) {
+	le := LogEvent{
+		Part: "job", What: e.Kind, Job: e.Job, Queue: e.Queue, Pool: pool, Run: e.Run, Worker: e.Worker, Epoch: epoch,
+		Why: e.Why, AgeMs: e.AgeMs, Count: e.Count,
+	}
+	if e.Task.Job != "" {
+		le.Task = e.Task.String()
+		le.Job = e.Task.Job
+	}
+	n.metrics.count(e.Kind)
+	n.log.Event(le)
+}
--- /dev/null
+++ b/jobmanager/node.go
@@ -0,0 +1,372 @@
+package jobmanager
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/job"
+	"github.com/berylwharf/berylwharf/peer"
+)
+
+const (
+	// membershipTTL is how long the store keeps a member that sends nothing. An owner that is not confirmed for as long
+	// stops ordering; another one takes over.
+	membershipTTL = 2 * time.Second
+	// joinEvery is the time between confirmations; three may be lost within membershipTTL.
+	joinEvery = 600 * time.Millisecond
+	// joinTimeout bounds one confirmation.
+	joinTimeout = 550 * time.Millisecond
+	// ownersEvery is the time between reads of the shards' owners.
+	ownersEvery = 1200 * time.Millisecond
+	// ownersAtOnce is the least time between reads that failed requests ask for.
+	ownersAtOnce = 150 * time.Millisecond
+	// directoryEvery is the time between reads of the directory by a node that owns a pool.
+	directoryEvery = 400 * time.Millisecond
+	// failurePause is the pause after a failed read.
+	failurePause = 200 * time.Millisecond
+)
+
+// Platform is what a node needs of the platform.
+type Platform struct {
+	Store     Store
+	Group     Group
+	Directory Directory
+	Config    ConfigSource
+	Workers   Workers
+}
+
+// Node is a process of the job manager.
+type Node struct {
+	settings *Settings
+	clock    Clock
+	store    Store
+	group    Group
+	source   Directory
+	configs  ConfigSource
+	workers  Workers
+	peers    *peer.Net
+	log      *Log
+	metrics  *nodeMetrics
+	member   string
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	confirmedUntil atomic.Int64 // steady time in nanoseconds
+	config         atomic.Pointer[Config]
+	shardPools     atomic.Pointer[map[int][]string]
+	entries        atomic.Pointer[directoryView]
+	refreshOwners  chan struct{}
+	refreshWorkers chan struct{}
+	leaving        atomic.Bool
+
+	mu     sync.Mutex
+	shards map[int]*shard
+	owners map[int]string // member by shard
+}
+
+// directoryView is a version of the directory.
+type directoryView struct {
+	version int64
+	byPool  map[string][]job.WorkerInfo
+}
+
+// NewNode returns a node that does nothing until Run.
+func NewNode(s *Settings, p Platform, peers *peer.Net, clock Clock, log *Log) *Node {
+	n := &Node{
+		settings: s, clock: clock, peers: peers, log: log,
+		store: p.Store, group: p.Group, source: p.Directory, configs: p.Config, workers: p.Workers,
+		metrics:        newNodeMetrics(),
+		member:         fmt.Sprintf("%s@%s", s.Node, s.Peers),
+		refreshOwners:  make(chan struct{}, 1),
+		refreshWorkers: make(chan struct{}, 1),
+		shards:         make(map[int]*shard),
+		owners:         make(map[int]string),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.entries.Store(&directoryView{})
+	n.handlePeers()
+	return n
+}
+
+// Run serves until the context ends, then hands the shards over and returns.
+func (n *Node) Run(ctx context.Context) {
+	n.wg.Go(n.followConfig)
+	n.wg.Go(n.followDirectory)
+	n.wg.Go(n.followOwners)
+	n.wg.Go(n.keepMembership)
+	<-ctx.Done()
+	n.handOver()
+}
+
+// Close ends all work of the node.
+func (n *Node) Close() {
+	n.cancel()
+	n.wg.Wait()
+}
+
+// handOver gives the shards to other nodes. Requests are passed on to them until Close.
+func (n *Node) handOver() {
+	n.leaving.Store(true)
+	n.log.Event(LogEvent{Part: "node", What: "handing over"})
+	n.mu.Lock()
+	for _, s := range n.shards {
+		s.lose("the node stops")
+	}
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	if err := n.group.Leave(ctx, n.member); err != nil {
+		n.log.Event(LogEvent{Part: "node", What: "leaving the group failed", Why: err.Error()})
+	}
+}
+
+// Ready tells whether the node can serve callers.
+func (n *Node) Ready() bool { return n.config.Load() != nil && !n.leaving.Load() }
+
+// Config returns the configuration in force, or nil when there is none yet.
+func (n *Node) Config() *Config { return n.config.Load() }
+
+// confirmed tells whether the store still counts the node as a member.
+func (n *Node) confirmed(now job.Time) bool { return int64(now.Steady) < n.confirmedUntil.Load() }
+
+// shardOf returns the shard of a pool.
+func (n *Node) shardOf(pool string) int { return int(xxhash.Sum64String(pool) % uint64(n.settings.Shards)) }
+
+func (n *Node) poolsOf(shard int) []string {
+	if m := n.shardPools.Load(); m != nil {
+		return (*m)[shard]
+	}
+	return nil
+}
+
+func (n *Node) directory() (map[string][]job.WorkerInfo, int64) {
+	v := n.entries.Load()
+	return v.byPool, v.version
+}
+
+// keepMembership confirms the membership and owns the shards that the store deals to this node.
+func (n *Node) keepMembership() {
+	var generation int64
+	held := make(map[int]int64) // generation since which a shard is held
+	for n.ctx.Err() == nil && !n.leaving.Load() {
+		sent := n.clock.Now()
+		ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
+		m, err := n.group.Join(ctx, n.member, membershipTTL, generation)
+		cancel()
+		if err != nil {
+			n.log.Event(LogEvent{Part: "node", What: "membership not confirmed", Why: err.Error()})
+			pause(n.ctx, failurePause)
+			continue
+		}
+		changed := m.Generation != generation
+		generation = m.Generation
+		n.own(m, held)
+		n.confirmedUntil.Store(int64(sent.Steady + membershipTTL))
+		if changed {
+			n.log.Event(LogEvent{Part: "node", What: "shards dealt", Epoch: m.Generation, Count: len(m.Shards)})
+			n.wake(n.refreshOwners)
+			continue
+		}
+		pause(n.ctx, joinEvery)
+	}
+}
+
+// own begins and ends the ownership of shards after a confirmation.
+func (n *Node) own(m Membership, held map[int]int64) {
+	listed := make(map[int]bool, len(m.Shards))
+	for _, number := range m.Shards {
+		listed[number] = true
+		if _, ok := held[number]; !ok {
+			held[number] = m.Generation
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for number := range held {
+		if !listed[number] {
+			delete(held, number)
+		}
+	}
+	for number, s := range n.shards {
+		switch {
+		case !listed[number]:
+			s.lose("the store gave the shard to another node")
+			delete(n.shards, number)
+		case s.ctx.Err() != nil:
+			// A later owner fenced this one; the shard has come back since.
+			held[number] = m.Generation
+			delete(n.shards, number)
+		}
+	}
+	for number := range listed {
+		if n.shards[number] == nil && len(n.poolsOf(number)) > 0 && !n.leaving.Load() {
+			s := newShard(n, number, held[number])
+			n.shards[number] = s
+			n.wg.Go(s.run)
+			n.wake(n.refreshWorkers)
+		}
+	}
+}
+
+// shard returns a shard that this node owns, or nil.
+func (n *Node) shard(number int) *shard {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.shards[number]
+	if s == nil || s.ctx.Err() != nil {
+		return nil
+	}
+	return s
+}
+
+func (n *Node) owning() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.shards) > 0
+}
+
+func (n *Node) wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// followConfig keeps the configuration current. A version never replaces a later one.
+func (n *Node) followConfig() {
+	for n.ctx.Err() == nil {
+		c, err := n.configs.Next(n.ctx)
+		if err != nil {
+			n.log.Event(LogEvent{Part: "config", What: "no answer", Why: err.Error()})
+			pause(n.ctx, failurePause)
+			continue
+		}
+		if c == nil {
+			continue
+		}
+		if old := n.config.Load(); old != nil && old.Version >= c.Version {
+			n.log.Event(LogEvent{Part: "config", What: "older version ignored", Epoch: c.Version})
+			continue
+		}
+		n.applyConfig(c)
+	}
+}
+
+func (n *Node) applyConfig(c *Config) {
+	pools := make(map[int][]string)
+	seen := make(map[string]bool)
+	for _, r := range c.Routes {
+		if !seen[r.Pool] {
+			seen[r.Pool] = true
+			number := n.shardOf(r.Pool)
+			pools[number] = append(pools[number], r.Pool)
+		}
+	}
+	n.shardPools.Store(&pools)
+	n.config.Store(c)
+	n.log.Event(LogEvent{Part: "config", What: "in force", Epoch: c.Version, Count: len(c.Routes)})
+}
+
+// followDirectory keeps the list of workers current while the node owns a pool.
+func (n *Node) followDirectory() {
+	for n.ctx.Err() == nil {
+		if n.owning() {
+			n.readDirectory()
+		}
+		n.wait(n.refreshWorkers, directoryEvery)
+	}
+}
+
+func (n *Node) readDirectory() {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	entries, changed, err := n.source.Poll(ctx)
+	if err != nil {
+		n.log.Event(LogEvent{Part: "directory", What: "no answer", Why: err.Error()})
+		return
+	}
+	old := n.entries.Load()
+	if !changed && old.version > 0 {
+		return
+	}
+	guards := make(map[string]bool)
+	if c := n.config.Load(); c != nil {
+		for _, p := range c.Pools {
+			guards[p.Name] = p.Guards
+		}
+	}
+	v := &directoryView{version: old.version + 1, byPool: make(map[string][]job.WorkerInfo)}
+	for _, e := range entries {
+		info := e.Info
+		info.Guards = guards[e.Pool]
+		v.byPool[e.Pool] = append(v.byPool[e.Pool], info)
+	}
+	n.entries.Store(v)
+}
+
+// followOwners keeps the map of owners current and links to them open.
+func (n *Node) followOwners() {
+	for n.ctx.Err() == nil {
+		n.readOwners()
+		pause(n.ctx, ownersAtOnce)
+		n.wait(n.refreshOwners, ownersEvery-ownersAtOnce)
+	}
+}
+
+func (n *Node) readOwners() {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	owners, err := n.group.Owners(ctx)
+	if err != nil {
+		n.log.Event(LogEvent{Part: "node", What: "owners not known", Why: err.Error()})
+		return
+	}
+	n.mu.Lock()
+	changed := !maps.Equal(n.owners, owners)
+	n.owners = owners
+	n.mu.Unlock()
+	if changed {
+		n.peers.SetTargets(targets(owners))
+	}
+}
+
+// targets returns the peer addresses of the owners.
+func targets(owners map[int]string) []peer.Target {
+	var out []peer.Target
+	for _, member := range owners {
+		if node, addr, err := splitMember(member); err == nil {
+			out = append(out, peer.Target{Node: node, Addr: addr})
+		}
+	}
+	return out
+}
+
+// splitMember splits a member name of the form NODE@ADDRESS.
+func splitMember(member string) (node, addr string, err error) {
+	node, addr, ok := strings.Cut(member, "@")
+	if !ok {
+		return "", "", errors.Errorf("member %q does not have the form NODE@ADDRESS", member)
+	}
+	return node, addr, nil
+}
+
+// wait waits for a wake-up, for d or until the node ends.
+func (n *Node) wait(wake chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/jobmanager/requests.go
@@ -0,0 +1,84 @@
+package jobmanager
+
+import (
+	"context"
+
+	"github.com/berylwharf/berylwharf/job"
+)
+
+// submit adds a job and waits until it is stored.
+func (s *shard) submit(ctx context.Context, spec *job.Spec) outcome {
+	return s.request(ctx, spec.Pool, spec.ID, false, func(p *job.Pool, now job.Time) outcome {
+		if s.stale(now) {
+			return outcome{answer: job.Refused, retry: retryAfterTrouble}
+		}
+		answer, retry := p.Submit(spec, now)
+		return outcome{answer: answer, retry: retry}
+	})
+}
+
+// cancelJob ends a job and waits until that is stored.
+func (s *shard) cancelJob(ctx context.Context, pool, id string) outcome {
+	return s.request(ctx, pool, id, true, func(p *job.Pool, now job.Time) outcome {
+		return outcome{answer: p.Cancel(id, now)}
+	})
+}
+
+// request runs f on the shard's goroutine and waits for the next commit if f's answer is pending.
+func (s *shard) request(
+	ctx context.Context, pool, id string, ended bool, f func(*job.Pool, job.Time) outcome,
+) outcome {
+	reply := make(chan outcome, 1)
+	ran := s.call(ctx, func(now job.Time) {
+		if !s.node.confirmed(now) {
+			reply <- outcome{err: errNotOwner}
+			return
+		}
+		o := f(s.pool(pool, now), now)
+		if o.answer == job.Pending && o.err == nil {
+			s.waiters[id] = append(s.waiters[id], waiter{reply: reply, ended: ended})
+			return
+		}
+		reply <- o
+	})
+	if !ran && len(reply) == 0 {
+		return outcome{err: errUncertain}
+	}
+	select {
+	case o := <-reply:
+		return o
+	case <-ctx.Done():
+		return outcome{err: errUncertain}
+	}
+}
+
+// stale tells whether the store has not answered the outstanding commit for some time.
+func (s *shard) stale(now job.Time) bool {
+	return s.commitAt != 0 && now.Steady-s.commitAt > commitStale
+}
+
+// stateOf returns the state of a job.
+func (s *shard) stateOf(ctx context.Context, pool, id string) (state job.State, known bool, err error) {
+	err = errNotOwner
+	s.call(ctx, func(now job.Time) {
+		if !s.node.confirmed(now) {
+			return
+		}
+		state, known = s.pool(pool, now).StateOf(id)
+		err = nil
+	})
+	return state, known, err
+}
+
+// waiting returns how many jobs of a queue wait.
+func (s *shard) waiting(ctx context.Context, pool, queue string) (n int, err error) {
+	err = errNotOwner
+	s.call(ctx, func(now job.Time) {
+		if !s.node.confirmed(now) {
+			return
+		}
+		n = s.pool(pool, now).Waiting(queue)
+		err = nil
+	})
+	return n, err
+}
--- /dev/null
+++ b/jobmanager/shard.go
@@ -0,0 +1,384 @@
+package jobmanager
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/job"
+)
+
+const (
+	// inboxSize bounds the messages that wait for a shard's goroutine. Senders wait when it is full.
+	inboxSize = 512
+	// stepEvery is the least time between rounds of scheduling.
+	stepEvery = 8 * time.Millisecond
+	// idleStep is the time between rounds while nothing happens.
+	idleStep = 60 * time.Millisecond
+	// commitEvery is the least time between the begins of commits; what happens meanwhile is stored in one append.
+	commitEvery = 25 * time.Millisecond
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 1200 * time.Millisecond
+	// storePause is the pause before a failed call to the store is repeated.
+	storePause = 60 * time.Millisecond
+	// commitStale is the age of an unfinished commit from which new jobs are refused: the store does not answer.
+	commitStale = 900 * time.Millisecond
+	// runsPerEpoch separates the run numbers of successive owners.
+	runsPerEpoch = 32
+	// driftFactor covers a worker's clock that is up to 2% slow, with reserve.
+	driftFactor = 1.03
+	// retryAfterTrouble is when callers are asked to return while a shard has no owner or the store does not answer.
+	retryAfterTrouble = time.Second
+)
+
+// outcome answers a caller's request.
+type outcome struct {
+	answer job.Answer
+	retry  time.Duration
+	err    error
+}
+
+var (
+	errNotOwner = errors.New("this node does not own the shard")
+	// errUncertain means that the request may or may not have been stored.
+	errUncertain = errors.New("the outcome is not known")
+)
+
+// waiter is a caller that waits for a commit.
+type waiter struct {
+	reply chan outcome
+	// ended states that the commit must contain the end of the job, not just its submission.
+	ended bool
+}
+
+// shard is the owner of one shard. One goroutine runs it; others reach it through its inbox.
+type shard struct {
+	node   *Node
+	number int
+	epoch  int64
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	inbox  chan func(job.Time)
+	done   chan struct{}
+
+	pools    map[string]*job.Pool
+	loaded   *job.Loaded
+	links    map[string]*link
+	waiters  map[string][]waiter // by job, until a commit is stored
+	begun    job.Time
+	seq      int64
+	commitAt time.Duration // begin of the outstanding commit, 0 if there is none
+	lastAt   time.Duration // begin of the last commit
+	stepAt   time.Duration
+}
+
+func newShard(n *Node, number int, epoch int64) *shard {
+	s := &shard{
+		node: n, number: number, epoch: epoch,
+		inbox:   make(chan func(job.Time), inboxSize),
+		done:    make(chan struct{}),
+		pools:   make(map[string]*job.Pool),
+		links:   make(map[string]*link),
+		waiters: make(map[string][]waiter),
+	}
+	s.ctx, s.cancel = context.WithCancelCause(n.ctx)
+	return s
+}
+
+// lose ends the ownership.
+func (s *shard) lose(why string) { s.cancel(errors.New(why)) }
+
+// call runs f on the shard's goroutine and waits for it. It returns false when the shard or the context ended first.
+func (s *shard) call(ctx context.Context, f func(job.Time)) bool {
+	ran := make(chan struct{})
+	wrapped := func(now job.Time) {
+		f(now)
+		close(ran)
+	}
+	select {
+	case s.inbox <- wrapped:
+	case <-s.ctx.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-s.done:
+		return false
+	}
+}
+
+// run takes the shard over and serves it until the ownership ends.
+func (s *shard) run() {
+	defer s.close()
+	s.begun = s.node.clock.Now()
+	if err := s.takeOver(); err != nil {
+		s.node.log.Event(LogEvent{Part: "shard", What: "takeover failed", Shard: s.number, Epoch: s.epoch, Why: err.Error()})
+		s.cancel(err)
+		return
+	}
+	s.node.log.Event(LogEvent{
+		Part: "shard", What: "taken over", Shard: s.number, Epoch: s.epoch, Count: len(s.loaded.Specs),
+		AgeMs: (s.node.clock.Now().Steady - s.begun.Steady).Milliseconds(),
+	})
+	s.serve()
+}
+
+// takeOver fences earlier owners and loads the stored records.
+func (s *shard) takeOver() error {
+	err := s.retry(func(ctx context.Context) error { return s.node.store.Fence(ctx, s.number, s.epoch) })
+	if err != nil {
+		return errors.Wrap(err, "fencing")
+	}
+	var records []job.Record
+	err = s.retry(func(ctx context.Context) (err error) {
+		records, err = s.node.store.Load(ctx, s.number)
+		return err
+	})
+	if err != nil {
+		return errors.Wrap(err, "loading")
+	}
+	s.loaded = job.Decode(records)
+	for _, problem := range s.loaded.Problems {
+		s.node.log.Event(LogEvent{Part: "shard", What: "record skipped", Shard: s.number, Why: problem.Error()})
+	}
+	return nil
+}
+
+// retry repeats a call to the store until it succeeds, the ownership ends or a later owner exists.
+func (s *shard) retry(f func(context.Context) error) error {
+	for {
+		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
+		err := f(ctx)
+		cancel()
+		if err == nil || errors.Is(err, ErrFenced) {
+			return err
+		}
+		if s.ctx.Err() != nil {
+			return context.Cause(s.ctx)
+		}
+		s.node.log.Event(LogEvent{Part: "store", What: "call failed", Shard: s.number, Why: err.Error()})
+		pause(s.ctx, storePause)
+	}
+}
+
+// serve runs the shard's loop.
+func (s *shard) serve() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case f := <-s.inbox:
+			s.drain(f)
+		case <-timer.C:
+		}
+		now := s.node.clock.Now()
+		wait := s.stepAt + stepEvery - now.Steady
+		if wait > 0 {
+			timer.Reset(wait)
+			continue
+		}
+		s.step(now)
+		timer.Reset(idleStep)
+	}
+}
+
+// drain handles a message and those that wait behind it.
+func (s *shard) drain(f func(job.Time)) {
+	f(s.node.clock.Now())
+	for range inboxSize {
+		select {
+		case f := <-s.inbox:
+			f(s.node.clock.Now())
+		default:
+			return
+		}
+	}
+}
+
+// step lets the pools decide, sends their orders and begins a commit.
+func (s *shard) step(now job.Time) {
+	s.stepAt = now.Steady
+	s.syncPools(now)
+	if !s.node.confirmed(now) {
+		// Another node may own the shard by now. Nothing is ordered until the store confirms the membership again.
+		return
+	}
+	for name, p := range s.pools {
+		p.Tick(now)
+		s.syncLinks(p)
+		for _, o := range p.TakeOrders() {
+			if l := s.links[o.Worker]; l != nil {
+				l.send(s.ctx, o, now)
+			}
+		}
+		s.logEvents(name, p)
+	}
+	s.commit(now)
+}
+
+// syncPools creates the pools that are configured or have stored jobs, and passes them the directory.
+func (s *shard) syncPools(now job.Time) {
+	for _, name := range s.node.poolsOf(s.number) {
+		s.pool(name, now)
+	}
+	for _, lj := range s.loaded.Specs {
+		s.pool(lj.Spec.Pool, now)
+	}
+	s.loaded.Specs = nil
+	entries, version := s.node.directory()
+	if version == 0 {
+		return
+	}
+	for name, p := range s.pools {
+		p.Directory(entries[name], now)
+	}
+}
+
+// pool returns a pool of the shard and creates it when it is new.
+func (s *shard) pool(name string, now job.Time) *job.Pool {
+	if p := s.pools[name]; p != nil {
+		return p
+	}
+	b := s.node.settings.Bounds
+	lease := time.Duration(float64(b.maxLease())*driftFactor) + orderTimeout
+	p := job.New(job.Config{
+		Pool:           name,
+		RunBase:        1 + int(s.epoch)*runsPerEpoch,
+		MaxLease:       lease,
+		InheritedLease: membershipTTL + lease,
+		KeepFinished:   time.Duration(b.StatusS * float64(time.Second)),
+		RackFactor:     b.RackFactor,
+	}, now)
+	p.Load(s.loaded, now)
+	s.pools[name] = p
+	return p
+}
+
+// syncLinks opens a link to each worker of a pool and closes those to workers that are forgotten.
+func (s *shard) syncLinks(p *job.Pool) {
+	known := make(map[string]bool)
+	for _, w := range p.Workers() {
+		known[w.Info.ID] = true
+		if l := s.links[w.Info.ID]; l != nil {
+			l.status.Info = w.Info
+			continue
+		}
+		l := newLink(s, p, w.Info.ID)
+		l.status = w
+		ctx, cancel := context.WithCancel(s.ctx)
+		l.cancel = cancel
+		s.links[w.Info.ID] = l
+		go l.run(ctx)
+	}
+	for id, l := range s.links {
+		if l.pool == p && !known[id] {
+			l.cancel()
+			delete(s.links, id)
+		}
+	}
+}
+
+// commit stores the changes of all pools in one append. One append is outstanding at a time.
+func (s *shard) commit(now job.Time) {
+	if s.commitAt != 0 || now.Steady-s.lastAt < commitEvery {
+		return
+	}
+	commits := make(map[*job.Pool]*job.Commit)
+	var records []job.Record
+	for _, p := range s.pools {
+		if c := p.TakeCommit(); c != nil {
+			commits[p] = c
+			records = append(records, c.Records...)
+		}
+	}
+	if len(commits) == 0 {
+		return
+	}
+	s.commitAt, s.lastAt = now.Steady, now.Steady
+	go s.store(commits, records)
+}
+
+// store appends the records of a commit, repeating calls without an answer, and reports back.
+func (s *shard) store(commits map[*job.Pool]*job.Commit, records []job.Record) {
+	for len(records) > 0 {
+		group, rest := splitRecords(records, s.node.settings.Bounds.CallBytes)
+		records = rest
+		seq := s.seq
+		s.seq++
+		err := s.retry(func(ctx context.Context) error { return s.node.store.Append(ctx, s.number, s.epoch, seq, group) })
+		if err != nil {
+			s.cancel(errors.Wrap(err, "storing a commit"))
+			return
+		}
+	}
+	s.call(s.ctx, func(now job.Time) { s.committed(commits, now) })
+}
+
+// splitRecords returns the first records that fit in one call, at least one, and the rest.
+func splitRecords(records []job.Record, callBytes int) (group, rest []job.Record) {
+	// Each record has a length field, a key length and its key beside the value.
+	const overhead = 8
+	size := 0
+	for i, r := range records {
+		size += len(r.Key) + len(r.Value) + overhead
+		if i > 0 && callBytes > 0 && size > callBytes {
+			return records[:i], records[i:]
+		}
+	}
+	return records, nil
+}
+
+// committed answers the callers whose requests a commit contains.
+func (s *shard) committed(commits map[*job.Pool]*job.Commit, now job.Time) {
+	s.node.metrics.storeLatency.Update((now.Steady - s.commitAt).Microseconds())
+	s.commitAt = 0
+	for p, c := range commits {
+		p.Committed(c, now)
+		for _, id := range c.Jobs {
+			s.answer(id, c.Ends(id), outcome{answer: job.Accepted})
+		}
+	}
+	for _, l := range s.links {
+		l.committed()
+	}
+}
+
+// answer answers those who wait for a job. Ended states that the job's end is stored.
+func (s *shard) answer(id string, ended bool, o outcome) {
+	var rest []waiter
+	for _, w := range s.waiters[id] {
+		if w.ended && !ended {
+			rest = append(rest, w)
+			continue
+		}
+		w.reply <- o
+	}
+	if len(rest) == 0 {
+		delete(s.waiters, id)
+		return
+	}
+	s.waiters[id] = rest
+}
+
+// close ends the shard: callers learn that their outcome is not known.
+func (s *shard) close() {
+	close(s.done)
+	for id := range s.waiters {
+		s.answer(id, true, outcome{err: errUncertain})
+	}
+	s.node.log.Event(LogEvent{
+		Part: "shard", What: "given up", Shard: s.number, Epoch: s.epoch, Why: context.Cause(s.ctx).Error(),
+	})
+}
+
+func (s *shard) logEvents(pool string, p *job.Pool) {
+	for _, e := range p.TakeEvents() {
+		s.node.logJob(pool, s.epoch, e)
+	}
+}
