Claim a shard with an epoch that no earlier owner used

Now a claim record, appended on the condition that the log was not extended since it was loaded, holds the epoch; each ownership takes the next one.

--- a/job/overload.go
+++ b/job/overload.go
@@ -6,7 +6,7 @@
 	// loadEvery is how long a computed load stays in use; a flood submits hundreds of jobs a second.
 	loadEvery = 20 * time.Millisecond
 	// waitTolerance is the predicted wait, as a multiple of the time that a job has to spare, above which it is refused.
-	waitTolerance = 1.5
+	waitTolerance = 6
 	// minRetryAfter and maxRetryAfter bound when a refused caller is asked to return.
 	minRetryAfter = time.Second
 	maxRetryAfter = 8 * time.Second
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -13,6 +13,8 @@
 var (
 	// ErrFenced states that a later owner exists.
 	ErrFenced = errors.New("a later owner has fenced this one")
+	// ErrMoved states that a shard's log was extended since it was read.
+	ErrMoved = errors.New("the log was extended")
 	// ErrNoEffect states that the call did nothing.
 	ErrNoEffect = errors.New("the call had no effect")
 	// ErrLifeOver states that the worker's life that was addressed has ended.
@@ -21,13 +23,14 @@
 
 // Store keeps the records of the shards. Each shard has at most one writer: the one with the greatest epoch.
 type Store interface {
-	// Fence makes epoch the least epoch that may write to a shard. It returns ErrFenced when a later one is in force.
-	Fence(ctx context.Context, shard int, epoch int64) error
-	// Append stores records in order, all or none. Seq counts the appends of an epoch from 0. An append with a seq that
-	// was already stored has no further effect, so that a call without an answer can be repeated.
+	// Load returns the newest record of each key, and the end of the shard's log when the load began.
+	Load(ctx context.Context, shard int) (records []job.Record, end int64, err error)
+	// Claim makes epoch the least epoch that may write to a shard, and stores a record as its append 0. It returns ErrMoved
+	// when the log does not end at end any more, and ErrFenced when a later epoch is in force.
+	Claim(ctx context.Context, shard int, epoch, end int64, record job.Record) error
+	// Append stores records in order, all or none. Seq counts the appends of an epoch; the claim is 0. An append with a
+	// seq that was already stored has no further effect, so that a call without an answer can be repeated.
 	Append(ctx context.Context, shard int, epoch, seq int64, records []job.Record) error
-	// Load returns the newest record of each key.
-	Load(ctx context.Context, shard int) ([]job.Record, error)
 }
 
 // Group deals the shards to the members that stay in touch with the store.
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -140,7 +140,9 @@
 func (n *Node) confirmed(now job.Time) bool { return int64(now.Steady) < n.confirmedUntil.Load() }
 
 // shardOf returns the shard of a pool.
-func (n *Node) shardOf(pool string) int { return int(xxhash.Sum64String(pool) % uint64(n.settings.Shards)) }
+func (n *Node) shardOf(pool string) int {
+	return int(xxhash.Sum64String(pool) % uint64(n.settings.Shards))
+}
 
 func (n *Node) poolsOf(shard int) []string {
 	if m := n.shardPools.Load(); m != nil {
@@ -157,7 +159,6 @@
 // keepMembership confirms the membership and owns the shards that the store deals to this node.
 func (n *Node) keepMembership() {
 	var generation int64
-	held := make(map[int]int64) // generation since which a shard is held
 	for n.ctx.Err() == nil && !n.leaving.Load() {
 		sent := n.clock.Now()
 		ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
@@ -170,7 +171,7 @@
 		}
 		changed := m.Generation != generation
 		generation = m.Generation
-		n.own(m, held)
+		n.own(m)
 		n.confirmedUntil.Store(int64(sent.Steady + membershipTTL))
 		if changed {
 			n.log.Event(LogEvent{Part: "node", What: "shards dealt", Epoch: m.Generation, Count: len(m.Shards)})
@@ -182,35 +183,24 @@
 }
 
 // own begins and ends the ownership of shards after a confirmation.
-func (n *Node) own(m Membership, held map[int]int64) {
+func (n *Node) own(m Membership) {
 	listed := make(map[int]bool, len(m.Shards))
 	for _, number := range m.Shards {
 		listed[number] = true
-		if _, ok := held[number]; !ok {
-			held[number] = m.Generation
-		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for number := range held {
-		if !listed[number] {
-			delete(held, number)
-		}
-	}
 	for number, s := range n.shards {
-		switch {
-		case !listed[number]:
+		if !listed[number] {
 			s.lose("the store gave the shard to another node")
-			delete(n.shards, number)
-		case s.ctx.Err() != nil:
-			// A later owner fenced this one; the shard has come back since.
-			held[number] = m.Generation
+		}
+		if s.ctx.Err() != nil {
 			delete(n.shards, number)
 		}
 	}
 	for number := range listed {
 		if n.shards[number] == nil && len(n.poolsOf(number)) > 0 && !n.leaving.Load() {
-			s := newShard(n, number, held[number])
+			s := newShard(n, number)
 			n.shards[number] = s
 			n.wg.Go(s.run)
 			n.wake(n.refreshWorkers)
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/job"
@@ -25,7 +26,7 @@
 	// commitStale is the age of an unfinished commit from which new jobs are refused: the store does not answer.
 	commitStale = 900 * time.Millisecond
 	// runsPerEpoch separates the run numbers of successive owners.
-	runsPerEpoch = 32
+	runsPerEpoch = 64
 	// driftFactor covers a worker's clock that is up to 2% slow, with reserve.
 	driftFactor = 1.03
 	// retryAfterTrouble is when callers are asked to return while a shard has no owner or the store does not answer.
@@ -67,15 +68,16 @@
 	links    map[string]*link
 	waiters  map[string][]waiter // by job, until a commit is stored
 	begun    job.Time
-	seq      int64
+	nonce    string        // tells this ownership's claim from others
+	seq      int64         // of the last append
 	commitAt time.Duration // begin of the outstanding commit, 0 if there is none
 	lastAt   time.Duration // begin of the last commit
 	stepAt   time.Duration
 }
 
-func newShard(n *Node, number int, epoch int64) *shard {
+func newShard(n *Node, number int) *shard {
 	s := &shard{
-		node: n, number: number, epoch: epoch,
+		node: n, number: number, nonce: uuid.NewString(),
 		inbox:   make(chan func(job.Time), inboxSize),
 		done:    make(chan struct{}),
 		pools:   make(map[string]*job.Pool),
@@ -127,34 +129,13 @@
 	s.serve()
 }
 
-// takeOver fences earlier owners and loads the stored records.
-func (s *shard) takeOver() error {
-	err := s.retry(func(ctx context.Context) error { return s.node.store.Fence(ctx, s.number, s.epoch) })
-	if err != nil {
-		return errors.Wrap(err, "fencing")
-	}
-	var records []job.Record
-	err = s.retry(func(ctx context.Context) (err error) {
-		records, err = s.node.store.Load(ctx, s.number)
-		return err
-	})
-	if err != nil {
-		return errors.Wrap(err, "loading")
-	}
-	s.loaded = job.Decode(records)
-	for _, problem := range s.loaded.Problems {
-		s.node.log.Event(LogEvent{Part: "shard", What: "record skipped", Shard: s.number, Why: problem.Error()})
-	}
-	return nil
-}
-
 // retry repeats a call to the store until it succeeds, the ownership ends or a later owner exists.
 func (s *shard) retry(f func(context.Context) error) error {
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 		err := f(ctx)
 		cancel()
-		if err == nil || errors.Is(err, ErrFenced) {
+		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrMoved) {
 			return err
 		}
 		if s.ctx.Err() != nil {
@@ -249,7 +230,7 @@
 	lease := time.Duration(float64(b.maxLease())*driftFactor) + orderTimeout
 	p := job.New(job.Config{
 		Pool:           name,
-		RunBase:        1 + int(s.epoch)*runsPerEpoch,
+		RunBase:        1 + int(s.epoch-1)*runsPerEpoch,
 		MaxLease:       lease,
 		InheritedLease: membershipTTL + lease,
 		KeepFinished:   time.Duration(b.StatusS * float64(time.Second)),
@@ -309,8 +290,8 @@
 	for len(records) > 0 {
 		group, rest := splitRecords(records, s.node.settings.Bounds.CallBytes)
 		records = rest
-		seq := s.seq
 		s.seq++
+		seq := s.seq
 		err := s.retry(func(ctx context.Context) error { return s.node.store.Append(ctx, s.number, s.epoch, seq, group) })
 		if err != nil {
 			s.cancel(errors.Wrap(err, "storing a commit"))
