--- a/job/report.go
+++ b/job/report.go
@@ -82,7 +82,12 @@
 
 // compareRunning updates the runs on a worker from its report.
 func (p *Pool) compareRunning(w *worker, rep Report, now Time) {
+	if rep.SentAt < w.lastLook {
+		// A later report was answered first.
+		return
+	}
 	seen := make(map[TaskID]bool, len(rep.Running))
+	w.strays = nil
 	for _, rt := range rep.Running {
 		seen[rt.Task] = true
 		p.seenRunning(w, rt, now)
@@ -112,6 +117,10 @@
 	}
 	t := p.task(rt.Task)
 	if t == nil || t.done || t.run != nil || t.job.phase != Active {
+		if w.strays == nil {
+			w.strays = make(map[TaskID]int)
+		}
+		w.strays[rt.Task] = rt.Run
 		p.order(Order{Kind: OrderStop, Worker: w.info.ID, Task: rt.Task, Run: rt.Run})
 		p.event(Event{Kind: "stray run stopped", Task: rt.Task, Run: rt.Run, Worker: w.info.ID})
 		return
--- a/job/worker.go
+++ b/job/worker.go
@@ -29,6 +29,8 @@
 	leaseUntil time.Duration
 	runs       map[TaskID]*run
 	used       Resources
+	// strays are running tasks that belong to no known run. Their size is not known, so nothing starts beside them.
+	strays map[TaskID]int
 	// processed is the greatest number of an end that was applied, stableEnd that of one that is also stored.
 	processed, stableEnd int64
 	failures             int // in a row
@@ -118,6 +120,7 @@
 // newLife resets what is known of a worker. Zero means that the next life has not reported yet.
 func (p *Pool) newLife(w *worker, born int64) {
 	w.born = born
+	w.strays = nil
 	w.looked = born != 0
 	w.leaseUntil = 0
 	w.processed, w.stableEnd = 0, 0
@@ -212,7 +215,7 @@
 
 // usable tells whether a worker may get a start.
 func (w *worker) usable(now Time) bool {
-	return w.listed && w.looked && !w.info.Draining && !w.leaving && !w.evacuating &&
+	return w.listed && w.looked && len(w.strays) == 0 && !w.info.Draining && !w.leaving && !w.evacuating &&
 		now.Steady >= w.distrusted && now.Steady-w.lastLook < answerWithin
 }
 
