--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -43,10 +43,8 @@
 
 	// The fields below belong to the shard's goroutine.
 	status   job.WorkerStatus
-	clockMs  int64 // worker's clock at clockAt
-	clockAt  time.Duration
+	clock    workerClock
 	answered time.Duration // last answer
-	settled  bool
 }
 
 func newLink(s *shard, p *job.Pool, worker string) *link {
@@ -59,11 +57,7 @@
 
 // expires returns the moment on the worker's clock at which a lease that begins now ends, or 0 while the clock is unknown.
 func (l *link) expires(now job.Time) int64 {
-	if l.clockMs == 0 {
-		return 0
-	}
-	elapsed := now.Steady - l.clockAt
-	return l.clockMs + elapsed.Milliseconds() + l.shard.node.settings.Bounds.maxLease().Milliseconds()
+	return l.clock.expires(now, l.shard.node.settings.Bounds.maxLease())
 }
 
 // request prepares the next hold. The second result is false when the worker is not to be held any more.
@@ -118,7 +112,7 @@
 		reply.Report.SentAt = sent
 		settled := true
 		l.shard.call(ctx, func(now job.Time) {
-			l.clockMs, l.clockAt = reply.ClockMs, sent
+			l.clock.observe(reply.ClockMs, now)
 			l.answered = now.Steady
 			l.pool.Report(reply.Report, now)
 			settled = l.pool.EndsSettled(l.worker)
--- /dev/null
+++ b/jobmanager/workerclock_test.go
@@ -0,0 +1,28 @@
+package jobmanager
+
+import (
+	"testing"
+	"time"
+
+	"github.com/berylwharf/berylwharf/job"
+)
+
+// TestLeaseEndsInTime guards against leases that last longer at the worker than the owner reckons: an answer that waited
+// 1.5 s at the worker made the estimate of its clock run ahead, and a task was started twice.
+func TestLeaseEndsInTime(t *testing.T) {
+	const lease = 5 * time.Second
+	// The worker's clock is 100 s ahead of the owner's.
+	ahead := 100 * time.Second
+	sent := 10 * time.Second
+	received := sent + 1500*time.Millisecond
+	var c workerClock
+	c.observe((received + ahead).Milliseconds(), job.Time{Steady: received})
+	now := received + 20*time.Millisecond
+	got := c.expires(job.Time{Steady: now}, lease)
+	if want := (now + ahead + lease).Milliseconds(); got > want {
+		t.Fatalf("the lease ends at %d on the worker's clock, later than %d", got, want)
+	}
+	if (&workerClock{}).expires(job.Time{Steady: now}, lease) != 0 {
+		t.Fatal("a lease without a known clock")
+	}
+}
