Add the fleet controller: waves of maintenance and machines that follow the load

Machines on standby and idle ones move to pools that lack room, waves evacuate within the budgets of lasting tasks and take the machines that run least first.

--- a/cmd/berylwharfd/jobs.go
+++ b/cmd/berylwharfd/jobs.go
@@ -97,8 +97,8 @@
 		log.Event(jobmanager.LogEvent{Part: "directory", What: "entry ignored", Why: err.Error()})
 	}
 	return jobmanager.Platform{
-		Store: store, Group: store, Directory: directory, Config: platform.NewConfigSource(store),
-		Workers: platform.NewWorkers(client),
+		Store: store, Group: store, Directory: directory, Operators: platform.NewOperatorSource(store),
+		Workers: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines, store),
 	}
 }
 
--- a/job/pool.go
+++ b/job/pool.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// Load adds the stored jobs and workers of the pool. It is called once, before any other event.
-func (p *Pool) Load(l *Loaded, now Time) {
+// Restore adds the stored jobs and workers of the pool. It is called once, before any other event.
+func (p *Pool) Restore(l *Loaded, now Time) {
 	for _, lj := range l.Specs {
 		if lj.Spec.Pool != p.cfg.Pool {
 			continue
--- a/job/record.go
+++ b/job/record.go
@@ -93,9 +93,11 @@
 
 // Loaded is a set of stored records that a new owner read.
 type Loaded struct {
-	Specs    []LoadedJob
-	Workers  map[string][]WorkerInfo // by pool
-	Problems []error                 // records that could not be decoded; they are skipped
+	Specs   []LoadedJob
+	Workers map[string][]WorkerInfo // by pool
+	// Other holds records that are not of this package.
+	Other    []Record
+	Problems []error // records that could not be decoded; they are skipped
 }
 
 // LoadedJob is a stored job with its progress.
@@ -149,7 +151,7 @@
 		}
 		l.Workers[v.Pool] = append(l.Workers[v.Pool], v.Info)
 	default:
-		return errors.New("unknown key")
+		l.Other = append(l.Other, r)
 	}
 	return nil
 }
--- a/job/upkeep.go
+++ b/job/upkeep.go
@@ -1,6 +1,9 @@
 package job
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// atWorkProgress is the reported progress of a lasting task that is at work.
@@ -15,18 +18,18 @@
 	paceUp = 20
 )
 
-// Evacuate starts or ends the evacuation of a worker before planned maintenance. Lasting tasks move within their budgets,
+// Evacuate sets the workers that are evacuated before planned maintenance. Lasting tasks move within their budgets,
 // checkpointable ones move at once, and others are left to end.
-func (p *Pool) Evacuate(id string, on bool) {
-	if w := p.workers[id]; w != nil {
-		w.evacuating = on
+func (p *Pool) Evacuate(ids []string) {
+	for _, w := range p.workers {
+		w.evacuating = slices.Contains(ids, w.info.ID)
 	}
 }
 
 // Empty tells whether nothing runs on a worker and nothing can start there.
 func (p *Pool) Empty(id string) bool {
 	w := p.workers[id]
-	return w == nil || (w.evacuating && len(w.runs) == 0)
+	return w == nil || (w.evacuating && w.looked && len(w.runs) == 0 && len(w.strays) == 0)
 }
 
 // evacuate moves tasks away from workers that leave or are about to be maintained.
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 )
 
@@ -93,10 +94,27 @@
 	IdleTimeout    time.Duration
 }
 
-// ConfigSource delivers versions of the configuration.
-type ConfigSource interface {
-	// Next waits for a version that is newer than the last one returned. It returns nil after some time without one.
-	Next(ctx context.Context) (*Config, error)
+// OperatorChange is what operators declared since the last change.
+type OperatorChange struct {
+	Config *Config // nil if it did not change
+	Waves  []fleet.Wave
+	// Malformed holds what could not be decoded.
+	Malformed []error
+}
+
+// OperatorSource delivers what operators declare.
+type OperatorSource interface {
+	// Next waits for a change. It returns an empty change after some time without one.
+	Next(ctx context.Context) (*OperatorChange, error)
+}
+
+// Machines are the platform's machines.
+type Machines interface {
+	List(ctx context.Context) ([]fleet.Machine, error)
+	// Order changes a machine. Holder and token name the controller; the platform sees a greater token as a later one.
+	Order(ctx context.Context, holder string, token int64, o fleet.Order) (fleet.Result, error)
+	// PublishWave tells operators the state of a wave.
+	PublishWave(ctx context.Context, number int64, completed bool) error
 }
 
 // Target addresses an order to a life of a worker.
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 	"github.com/berylwharf/berylwharf/peer"
 	"github.com/berylwharf/berylwharf/verdict"
@@ -18,6 +19,7 @@
 	typeCancel  = "job.cancel"
 	typeState   = "job.state"
 	typeWaiting = "job.waiting"
+	typeFleet   = "fleet.load"
 )
 
 const (
@@ -35,6 +37,8 @@
 	ID    string    `cbor:"2,keyasint,omitempty"`
 	Queue string    `cbor:"3,keyasint,omitempty"`
 	Spec  *job.Spec `cbor:"4,keyasint,omitempty"`
+	// Evacuate lists the workers of the pool that the fleet controller wants empty.
+	Evacuate []string `cbor:"5,keyasint,omitempty"`
 }
 
 // code is the outcome of a call.
@@ -50,10 +54,11 @@
 
 // reply is the owner's answer.
 type reply struct {
-	Code    code      `cbor:"1,keyasint,omitempty"`
-	RetryMs int64     `cbor:"2,keyasint,omitempty"`
-	State   job.State `cbor:"3,keyasint,omitempty"`
-	Waiting int       `cbor:"4,keyasint,omitempty"`
+	Code    code        `cbor:"1,keyasint,omitempty"`
+	RetryMs int64       `cbor:"2,keyasint,omitempty"`
+	State   job.State   `cbor:"3,keyasint,omitempty"`
+	Waiting int         `cbor:"4,keyasint,omitempty"`
+	Load    *fleet.Load `cbor:"5,keyasint,omitempty"`
 }
 
 // Submit hands a job to the owner of its pool. The error is a *verdict.Error.
@@ -171,6 +176,12 @@
 			return reply{Code: codeUnknown}
 		}
 		return reply{State: state}
+	case typeFleet:
+		load, err := s.load(ctx, c.Pool, c.Evacuate)
+		if err != nil {
+			return reply{Code: codeNotOwner}
+		}
+		return reply{Load: load}
 	default:
 		waiting, err := s.waiting(ctx, c.Pool, c.Queue)
 		if err != nil {
@@ -196,7 +207,7 @@
 
 // handlePeers registers the handlers of calls from other nodes.
 func (n *Node) handlePeers() {
-	for _, kind := range []string{typeSubmit, typeCancel, typeState, typeWaiting} {
+	for _, kind := range []string{typeSubmit, typeCancel, typeState, typeWaiting, typeFleet} {
 		n.peers.Handle(kind, func(ctx context.Context, _ string, body peer.Body) (any, error) {
 			return n.handleCall(ctx, kind, body)
 		})
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 	"github.com/berylwharf/berylwharf/peer"
 )
@@ -39,23 +40,25 @@
 	Store     Store
 	Group     Group
 	Directory Directory
-	Config    ConfigSource
+	Operators OperatorSource
 	Workers   Workers
+	Machines  Machines
 }
 
 // Node is a process of the job manager.
 type Node struct {
-	settings *Settings
-	clock    Clock
-	store    Store
-	group    Group
-	source   Directory
-	configs  ConfigSource
-	workers  Workers
-	peers    *peer.Net
-	log      *Log
-	metrics  *nodeMetrics
-	member   string
+	settings  *Settings
+	clock     Clock
+	store     Store
+	group     Group
+	source    Directory
+	operators OperatorSource
+	machines  Machines
+	workers   Workers
+	peers     *peer.Net
+	log       *Log
+	metrics   *nodeMetrics
+	member    string
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -72,6 +75,7 @@
 	mu     sync.Mutex
 	shards map[int]*shard
 	owners map[int]string // member by shard
+	waves  map[int64]fleet.Wave
 }
 
 // directoryView is a version of the directory.
@@ -84,13 +88,15 @@
 func NewNode(s *Settings, p Platform, peers *peer.Net, clock Clock, log *Log) *Node {
 	n := &Node{
 		settings: s, clock: clock, peers: peers, log: log,
-		store: p.Store, group: p.Group, source: p.Directory, configs: p.Config, workers: p.Workers,
+		store: p.Store, group: p.Group, source: p.Directory, operators: p.Operators, workers: p.Workers,
+		machines:       p.Machines,
 		metrics:        newNodeMetrics(),
 		member:         fmt.Sprintf("%s@%s", s.Node, s.Peers),
 		refreshOwners:  make(chan struct{}, 1),
 		refreshWorkers: make(chan struct{}, 1),
 		shards:         make(map[int]*shard),
 		owners:         make(map[int]string),
+		waves:          make(map[int64]fleet.Wave),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.entries.Store(&directoryView{})
@@ -100,7 +106,7 @@
 
 // Run serves until the context ends, then hands the shards over and returns.
 func (n *Node) Run(ctx context.Context) {
-	n.wg.Go(n.followConfig)
+	n.wg.Go(n.followOperators)
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followOwners)
 	n.wg.Go(n.keepMembership)
@@ -199,7 +205,7 @@
 		}
 	}
 	for number := range listed {
-		if n.shards[number] == nil && len(n.poolsOf(number)) > 0 && !n.leaving.Load() {
+		if n.shards[number] == nil && n.used(number) && !n.leaving.Load() {
 			s := newShard(n, number)
 			n.shards[number] = s
 			n.wg.Go(s.run)
@@ -208,6 +214,9 @@
 	}
 }
 
+// used tells whether a shard has pools or the fleet controller.
+func (n *Node) used(shard int) bool { return shard == fleetShard || len(n.poolsOf(shard)) > 0 }
+
 // shard returns a shard that this node owns, or nil.
 func (n *Node) shard(number int) *shard {
 	n.mu.Lock()
@@ -232,27 +241,39 @@
 	}
 }
 
-// followConfig keeps the configuration current. A version never replaces a later one.
-func (n *Node) followConfig() {
+// followOperators keeps what operators declare current. A version of the configuration never replaces a later one.
+func (n *Node) followOperators() {
 	for n.ctx.Err() == nil {
-		c, err := n.configs.Next(n.ctx)
+		change, err := n.operators.Next(n.ctx)
 		if err != nil {
 			n.log.Event(LogEvent{Part: "config", What: "no answer", Why: err.Error()})
 			pause(n.ctx, failurePause)
 			continue
 		}
-		if c == nil {
-			continue
+		for _, problem := range change.Malformed {
+			n.log.Event(LogEvent{Part: "config", What: "entry ignored", Why: problem.Error()})
 		}
-		if old := n.config.Load(); old != nil && old.Version >= c.Version {
-			n.log.Event(LogEvent{Part: "config", What: "older version ignored", Epoch: c.Version})
-			continue
+		n.applyWaves(change.Waves)
+		if change.Config != nil {
+			n.applyConfig(change.Config)
 		}
-		n.applyConfig(c)
+	}
+}
+
+func (n *Node) applyWaves(waves []fleet.Wave) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range waves {
+		n.waves[w.Number] = w
+		n.log.Event(LogEvent{Part: "fleet", What: "wave declared", Epoch: w.Number, Count: len(w.Hosts)})
 	}
 }
 
 func (n *Node) applyConfig(c *Config) {
+	if old := n.config.Load(); old != nil && old.Version >= c.Version {
+		n.log.Event(LogEvent{Part: "config", What: "older version ignored", Epoch: c.Version})
+		return
+	}
 	pools := make(map[int][]string)
 	seen := make(map[string]bool)
 	for _, r := range c.Routes {
--- a/jobmanager/requests.go
+++ b/jobmanager/requests.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 )
 
@@ -82,3 +84,32 @@
 	})
 	return n, err
 }
+
+// evacuationTTL is how long a request of the fleet controller to evacuate workers stays in force without being repeated.
+const evacuationTTL = 3 * time.Second
+
+// load evacuates workers of a pool and returns its load.
+func (s *shard) load(ctx context.Context, pool string, evacuate []string) (load *fleet.Load, err error) {
+	err = errNotOwner
+	s.call(ctx, func(now job.Time) {
+		if !s.node.confirmed(now) {
+			return
+		}
+		p := s.pool(pool, now)
+		p.Evacuate(evacuate)
+		s.evacuated[pool] = now.Steady + evacuationTTL
+		l := p.Load()
+		load, err = &l, nil
+	})
+	return load, err
+}
+
+// endEvacuations ends the evacuations that the fleet controller did not repeat.
+func (s *shard) endEvacuations(now job.Time) {
+	for pool, until := range s.evacuated {
+		if now.Steady > until {
+			s.pools[pool].Evacuate(nil)
+			delete(s.evacuated, pool)
+		}
+	}
+}
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -63,26 +63,29 @@
 	inbox  chan func(job.Time)
 	done   chan struct{}
 
-	pools    map[string]*job.Pool
-	loaded   *job.Loaded
-	links    map[string]*link
-	waiters  map[string][]waiter // by job, until a commit is stored
-	begun    job.Time
-	nonce    string        // tells this ownership's claim from others
-	seq      int64         // of the last append
-	commitAt time.Duration // begin of the outstanding commit, 0 if there is none
-	lastAt   time.Duration // begin of the last commit
-	stepAt   time.Duration
+	pools     map[string]*job.Pool
+	loaded    *job.Loaded
+	links     map[string]*link
+	waiters   map[string][]waiter // by job, until a commit is stored
+	begun     job.Time
+	evacuated map[string]time.Duration // by pool, until when an evacuation is in force
+	extra     []job.Record             // to store with the next commit
+	nonce     string                   // tells this ownership's claim from others
+	seq       int64                    // of the last append
+	commitAt  time.Duration            // begin of the outstanding commit, 0 if there is none
+	lastAt    time.Duration            // begin of the last commit
+	stepAt    time.Duration
 }
 
 func newShard(n *Node, number int) *shard {
 	s := &shard{
 		node: n, number: number, nonce: uuid.NewString(),
-		inbox:   make(chan func(job.Time), inboxSize),
-		done:    make(chan struct{}),
-		pools:   make(map[string]*job.Pool),
-		links:   make(map[string]*link),
-		waiters: make(map[string][]waiter),
+		inbox:     make(chan func(job.Time), inboxSize),
+		done:      make(chan struct{}),
+		pools:     make(map[string]*job.Pool),
+		links:     make(map[string]*link),
+		waiters:   make(map[string][]waiter),
+		evacuated: make(map[string]time.Duration),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(n.ctx)
 	return s
@@ -126,6 +129,9 @@
 		Part: "shard", What: "taken over", Shard: s.number, Epoch: s.epoch, Count: len(s.loaded.Specs),
 		AgeMs: (s.node.clock.Now().Steady - s.begun.Steady).Milliseconds(),
 	})
+	if s.number == fleetShard {
+		s.node.wg.Go(func() { newFleetLoop(s).run() })
+	}
 	s.serve()
 }
 
@@ -190,6 +196,7 @@
 		// Another node may own the shard by now. Nothing is ordered until the store confirms the membership again.
 		return
 	}
+	s.endEvacuations(now)
 	for name, p := range s.pools {
 		p.Tick(now)
 		s.syncLinks(p)
@@ -236,7 +243,7 @@
 		KeepFinished:   time.Duration(b.StatusS * float64(time.Second)),
 		RackFactor:     b.RackFactor,
 	}, now)
-	p.Load(s.loaded, now)
+	p.Restore(s.loaded, now)
 	s.pools[name] = p
 	return p
 }
@@ -278,7 +285,9 @@
 			records = append(records, c.Records...)
 		}
 	}
-	if len(commits) == 0 {
+	records = append(records, s.extra...)
+	s.extra = nil
+	if len(records) == 0 && len(commits) == 0 {
 		return
 	}
 	s.commitAt, s.lastAt = now.Steady, now.Steady
