--- a/job/upkeep.go
+++ b/job/upkeep.go
@@ -57,26 +57,27 @@
 	if leaving {
 		return true
 	}
-	return p.within(r.task) && p.roomElsewhere(r, now)
+	return p.within(r.task, now) && p.roomElsewhere(r, now)
 }
 
 // within tells whether one more task of a lasting step may be unavailable.
-func (p *Pool) within(t *task) bool {
+func (p *Pool) within(t *task, now Time) bool {
 	if t.step.MissBudget == 0 {
 		return true
 	}
 	away := 0
 	for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
-		if m != t && !m.atWork() {
+		if m != t && !m.atWork(now) {
 			away++
 		}
 	}
 	return away < t.step.MissBudget
 }
 
-func (t *task) atWork() bool {
+// atWork tells whether a lasting task serves, as far as its worker reported recently.
+func (t *task) atWork(now Time) bool {
 	r := t.run
-	return r != nil && r.state == runActive && r.progress >= atWorkProgress
+	return r != nil && r.state == runActive && r.progress >= atWorkProgress && now.Steady-r.worker.lastLook < answerWithin
 }
 
 // roomElsewhere tells whether another worker could take the task of a run.
--- /dev/null
+++ b/job/upkeep_test.go
@@ -0,0 +1,75 @@
+package job
+
+import (
+	"testing"
+	"time"
+)
+
+func lasting(id string, count, budget int) *Spec {
+	return &Spec{ID: id, Steps: []Step{{
+		Count: count, Request: Resources{CPU: 1000, MemMB: 10}, Lasting: true, MissBudget: budget, MaxPerWorker: 1,
+	}}}
+}
+
+// atWork starts the lasting job and reports its tasks as being at work. It returns the worker of each task.
+func (tp *testPool) atWork(s *Spec) map[TaskID]string {
+	tp.t.Helper()
+	tp.submit(s)
+	at := make(map[TaskID]string)
+	for _, o := range starts(tp.tick()) {
+		tp.Started(o, ResultDone, tp.now)
+		at[o.Task] = o.Worker
+	}
+	tp.advance(10 * time.Millisecond)
+	for id, worker := range at {
+		tp.report(worker, RunningTask{Task: id, Run: 1, Progress: 100})
+	}
+	return at
+}
+
+func stops(orders []Order) []Order {
+	var out []Order
+	for _, o := range orders {
+		if o.Kind == OrderStop {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// TestEvacuationCountsSilentWorkers guards against ending a lasting task while another of its step is on a worker that
+// went dark and whose lease has not expired yet: the budget of missing tasks was exceeded.
+func TestEvacuationCountsSilentWorkers(t *testing.T) {
+	p := newTestPool(t, "a", "b", "c")
+	at := p.atWork(lasting("x", 2, 1))
+	var first, second TaskID
+	for id := range at {
+		if id.Index == 0 {
+			first = id
+		} else {
+			second = id
+		}
+	}
+	// The second task's worker goes dark; the others keep reporting.
+	for range 3 {
+		p.advance(time.Second)
+		for _, w := range []string{"a", "b", "c"} {
+			switch w {
+			case at[first]:
+				p.report(w, RunningTask{Task: first, Run: 1, Progress: 100})
+			case at[second]:
+			default:
+				p.report(w)
+			}
+		}
+	}
+	p.Evacuate([]string{at[first]})
+	if s := stops(p.tick()); len(s) != 0 {
+		t.Fatalf("stopped %+v while the other task is unavailable", s)
+	}
+	// The second task is back.
+	p.report(at[second], RunningTask{Task: second, Run: 1, Progress: 100})
+	if s := stops(p.tick()); len(s) != 1 || s[0].Task != first {
+		t.Fatalf("stopped %+v, want the task on the evacuated worker", s)
+	}
+}
