Count failed runs by their numbers, and try a failed task elsewhere

Cause: ends were counted only above the greatest known number. Also: jobs that would miss their objective because of those before them are put behind the others, and pools ask for as many machines as their lasting steps need.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,8 @@
 	Used    float64      `cbor:"1,keyasint,omitempty"` // taken by running tasks
 	Waiting float64      `cbor:"2,keyasint,omitempty"` // needed by tasks that could start now
 	Workers []WorkerLoad `cbor:"3,keyasint,omitempty"`
+	// Least is how many machines the pool needs for tasks that may not share a worker.
+	Least int `cbor:"4,keyasint,omitempty"`
 }
 
 // Pool is a pool as configured.
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -60,11 +60,12 @@
 			continue
 		}
 		need := int((load.Used+load.Waiting)/targetUse) + reserve
-		out[pool] = &balance{pool: pool, need: max(minPool, need)}
+		out[pool] = &balance{pool: pool, need: max(minPool, load.Least, need)}
 	}
 	for _, m := range c.seen.Machines {
 		pool := m.Pool
-		if op := c.ops[m.Host]; op != nil && op.order.Kind == OrderMove {
+		if op := c.ops[m.Host]; op != nil {
+			// A machine in maintenance needs a substitute, or its tasks could not move away. Its pool for a move is the new one.
 			pool = op.order.Pool
 		}
 		if b := out[pool]; b != nil && m.State != Down {
--- /dev/null
+++ b/job/attempts_test.go
@@ -0,0 +1,56 @@
+package job
+
+import "testing"
+
+// TestFailuresCountInAnyOrder guards against starting a task again after its last attempt: after a takeover, the reports of
+// its workers arrived in another order than the runs, and the earlier failures were not counted.
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	p := newTestPool(t, "a", "b")
+	s := oneStep("x", 1, 1000)
+	s.Attempts = 3
+	p.submit(s)
+	p.tick()
+	id := TaskID{Job: "x"}
+	p.ends("b", EndedTask{Number: 1, Task: id, Run: 3, How: EndFailed})
+	p.ends("a", EndedTask{Number: 1, Task: id, Run: 1, How: EndFailed}, EndedTask{Number: 2, Task: id, Run: 2, How: EndFailed})
+	// An end that is listed again counts once.
+	p.ends("a", EndedTask{Number: 2, Task: id, Run: 2, How: EndFailed})
+	p.commit()
+	if got, _ := p.StateOf("x"); got != StateFailed {
+		t.Fatalf("state %q after 3 failed runs, want %q", got, StateFailed)
+	}
+	if o := p.tick(); len(starts(o)) != 0 {
+		t.Fatalf("started again: %+v", o)
+	}
+}
+
+// TestFailuresSurviveTakeover guards against losing attempts when another owner takes over.
+func TestFailuresSurviveTakeover(t *testing.T) {
+	p := newTestPool(t, "a")
+	s := oneStep("x", 1, 1000)
+	p.submit(s)
+	id := TaskID{Job: "x"}
+	first := starts(p.tick())
+	if len(first) != 1 {
+		t.Fatalf("%d starts, want 1", len(first))
+	}
+	p.Started(first[0], ResultDone, p.now)
+	p.ends("a", EndedTask{Number: 1, Task: id, Run: 1, How: EndFailed})
+	c := p.TakeCommit()
+	loaded := Decode(append(c.Records, Record{Key: keySpec + "x", Value: encode(specRecord{Phase: Active, Spec: s})}))
+	if len(loaded.Problems) > 0 {
+		t.Fatal(loaded.Problems)
+	}
+	next := newTestPool(t, "a")
+	next.Restore(loaded, next.now)
+	next.ends("a", EndedTask{Number: 1, Task: id, Run: 1, How: EndFailed}) // not forgotten yet
+	next.commit()
+	if got, _ := next.StateOf("x"); got == StateFailed {
+		t.Fatal("one failed run counted twice")
+	}
+	next.ends("a", EndedTask{Number: 2, Task: id, Run: 65, How: EndFailed})
+	next.commit()
+	if got, _ := next.StateOf("x"); got != StateFailed {
+		t.Fatalf("state %q after the second failed run, want %q", got, StateFailed)
+	}
+}
--- a/job/commit.go
+++ b/job/commit.go
@@ -94,10 +94,10 @@
 			continue
 		}
 		o.each(func(t *task) {
-			if t.done || t.failures > 0 || t.endedRun > 0 || t.saved != "" {
+			if t.done || len(t.failed) > 0 || t.endedRun > 0 || t.saved != "" {
 				r.Tasks = append(r.Tasks, taskRecord{
 					Occurrence: k, Step: t.id.Step, Index: t.id.Index,
-					Done: t.done, Failures: t.failures, LastRun: t.endedRun, Saved: t.saved,
+					Done: t.done, Failed: t.failed, LastRun: t.endedRun, Saved: t.saved,
 				})
 			}
 		})
--- a/job/load.go
+++ b/job/load.go
@@ -17,9 +17,26 @@
 		l.Workers = append(l.Workers, load)
 	}
 	l.Waiting = p.waitingShare(capacity)
+	l.Least = p.leastWorkers()
 	return l
 }
 
+// leastWorkers returns how many workers the lasting steps need that bound their tasks on one worker.
+func (p *Pool) leastWorkers() int {
+	least := 0
+	for _, j := range p.jobs {
+		if j.phase != Active {
+			continue
+		}
+		for i := range j.spec.Steps {
+			if s := &j.spec.Steps[i]; s.Lasting && s.MaxPerWorker > 0 {
+				least = max(least, (s.Count+s.MaxPerWorker-1)/s.MaxPerWorker)
+			}
+		}
+	}
+	return least
+}
+
 // machine returns the capacity of the largest worker.
 func (p *Pool) machine() Resources {
 	var c Resources
--- a/job/place.go
+++ b/job/place.go
@@ -103,6 +103,10 @@
 	if s.DataRack != "" && w.info.Rack == s.DataRack {
 		score += 100
 	}
+	if t.failedAt == w {
+		// A worker may fail everything that it starts, and the attempts are few.
+		score -= 50
+	}
 	switch {
 	case s.Fills:
 		// Filling tasks get what others leave, and they disturb serving tasks.
--- a/job/pool.go
+++ b/job/pool.go
@@ -69,9 +69,10 @@
 	id       TaskID
 	step     *Step
 	done     bool
-	failures int
-	lastRun  int // greatest number of a run that ended or was ordered
-	endedRun int // greatest number of a run whose end was counted
+	failed   []int   // numbers of the runs that failed
+	failedAt *worker // where the last run failed
+	lastRun  int     // greatest number of a run that is known
+	endedRun int     // greatest number of a run whose end is known
 	saved    string
 	run      *run
 	// inherited tasks may run on a worker that this owner could not look at yet.
@@ -152,7 +153,7 @@
 		if t == nil {
 			continue
 		}
-		t.failures, t.lastRun, t.endedRun, t.saved = r.Failures, r.LastRun, r.LastRun, r.Saved
+		t.failed, t.lastRun, t.endedRun, t.saved = r.Failed, r.LastRun, r.LastRun, r.Saved
 		if r.Done {
 			p.setDone(t)
 		}
--- a/job/record.go
+++ b/job/record.go
@@ -46,7 +46,7 @@
 	Step       int
 	Index      int
 	Done       bool
-	Failures   int
+	Failed     []int // numbers of the runs that failed
 	LastRun    int
 	Saved      string
 }
--- a/job/report.go
+++ b/job/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -149,12 +150,10 @@
 	if t.done {
 		return
 	}
-	if e.Run > t.endedRun {
-		t.endedRun = e.Run
-		t.lastRun = max(t.lastRun, e.Run)
-		if e.How == EndFailed {
-			p.runFailed(t, w, now)
-		}
+	t.endedRun = max(t.endedRun, e.Run)
+	t.lastRun = max(t.lastRun, e.Run)
+	if e.How == EndFailed {
+		p.runFailed(t, e.Run, w, now)
 	}
 	if e.Saved != "" && own {
 		t.saved = e.Saved
@@ -181,20 +180,25 @@
 	p.finishDone(t.job, now)
 }
 
-// runFailed counts a failed run of a task and fails the job after the last attempt.
-func (p *Pool) runFailed(t *task, w *worker, now Time) {
-	t.failures++
+// runFailed counts a failed run of a task and fails the job after the last attempt. Workers list an end until it is stored,
+// and after a takeover ends arrive in any order, so the runs are counted by their numbers.
+func (p *Pool) runFailed(t *task, number int, w *worker, now Time) {
+	if slices.Contains(t.failed, number) {
+		return
+	}
+	t.failedAt = w
 	if w.failed(t, now) {
 		p.event(Event{Kind: "worker distrusted", Worker: w.info.ID, Task: t.id})
 	}
 	if t.step.Lasting || t.job.phase != Active {
 		return
 	}
-	failures := t.failures
+	t.failed = append(t.failed, number)
+	failures := len(t.failed)
 	if t.step.Gang {
 		failures = 0
 		for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
-			failures += m.failures
+			failures += len(m.failed)
 		}
 	}
 	if failures >= max(1, t.job.spec.Attempts) {
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -51,9 +51,67 @@
 		}
 	}
 	slices.SortFunc(q, compareWaiting)
+	if p.postpone(q, now) {
+		slices.SortFunc(q, compareWaiting)
+	}
 	return q
 }
 
+// postpone puts occurrences behind the others that would miss their objective because of those before them, and tells
+// whether there are any.
+//
+// It answers floods: in the order of their deadlines alone, each job would begin when it can just not be completed in time
+// any more, and all would be late.
+func (p *Pool) postpone(q []waiting, now Time) bool {
+	capacity := p.capacity()
+	ahead := p.runningWork(capacity)
+	found := false
+	for i := range q {
+		w := &q[i]
+		if w.precedence != precedenceOnTime {
+			continue
+		}
+		if ahead > w.latest-now.Steady {
+			w.precedence = precedenceLate
+			found = true
+			continue
+		}
+		ahead += p.waitingWork(w, capacity)
+	}
+	return found
+}
+
+// runningWork returns the time that the pool needs for half of the work that runs.
+func (p *Pool) runningWork(capacity Resources) time.Duration {
+	var total time.Duration
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if !r.task.step.Lasting {
+				total += p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
+			}
+		}
+	}
+	return total
+}
+
+// waitingWork returns the time that the pool needs for the tasks of an occurrence that do not run yet.
+func (p *Pool) waitingWork(w *waiting, capacity Resources) time.Duration {
+	var total time.Duration
+	for i, tasks := range w.occurrence.steps {
+		if w.occurrence.open[i] == 0 {
+			continue
+		}
+		n := 0
+		for _, t := range tasks {
+			if !t.done && t.run == nil {
+				n++
+			}
+		}
+		total += p.taskWork(w.job.spec.Queue, &w.job.spec.Steps[i], capacity) * time.Duration(n)
+	}
+	return total
+}
+
 func (p *Pool) rank(j *jobState, o *occurrence, now Time) waiting {
 	w := waiting{job: j, occurrence: o, precedence: precedenceOnTime}
 	if j.spec.lasting() {
--- a/job/worker.go
+++ b/job/worker.go
@@ -112,7 +112,9 @@
 	if w == nil {
 		return
 	}
-	p.event(Event{Kind: "worker life over", Worker: id})
+	if w.looked || len(w.runs) > 0 {
+		p.event(Event{Kind: "worker life over", Worker: id})
+	}
 	p.endRuns(w, "worker gone", now)
 	p.newLife(w, 0)
 }
