--- a/job/overload.go
+++ b/job/overload.go
@@ -3,53 +3,39 @@
 import "time"
 
 const (
-	// loadEvery is how long a computed load stays in use; a flood submits hundreds of jobs a second.
-	loadEvery = 20 * time.Millisecond
-	// waitTolerance is the predicted wait, as a multiple of the time that a job has to spare, above which it is refused.
-	waitTolerance = 6
+	// lateFactor is the multiple of its objective up to which a late job is still of use to its caller.
+	lateFactor = 3
 	// minRetryAfter and maxRetryAfter bound when a refused caller is asked to return.
 	minRetryAfter = time.Second
 	maxRetryAfter = 8 * time.Second
 )
 
-// loadWindow is the work that waits, as the time in which the pool can do it.
-type loadWindow struct {
-	at    time.Duration
-	clear time.Duration
-	valid bool
+// backlog is the work of a pool, as the time in which the pool can do it.
+type backlog struct {
+	onTime time.Duration // of the jobs that can meet their objective, with what runs
+	total  time.Duration
 }
 
-// overload returns zero when a job can be expected to meet its objective, and otherwise after how long room is expected.
+// overload returns zero when a job can be of use to its caller, and otherwise after how long room is expected.
 //
-// It answers floods: while a queue asks for several times what its pool holds, jobs that would complete late take the room
-// of those that could still complete in time.
-func (p *Pool) overload(s *Spec, now Time) time.Duration {
+// It answers floods: a job is accepted when it can meet its objective behind the jobs that also can, however many late ones
+// wait, because those come after it. Behind all of them it is accepted while it can still be completed within lateFactor
+// times its objective; beyond, waiting would not help the caller.
+func (p *Pool) overload(s *Spec) time.Duration {
 	if s.lasting() || s.Occurrences > 0 {
 		return 0
 	}
-	spare := s.objective() - s.chain()
-	wait := p.clearTime(now)
-	if float64(wait) <= waitTolerance*float64(spare) {
-		p.load.clear += p.work(s)
-		return 0
+	work := p.work(s)
+	wait := p.backlog.total - (lateFactor*s.objective() - s.chain())
+	onTime := p.backlog.onTime <= s.objective()-s.chain()
+	if !onTime && wait > 0 {
+		return min(maxRetryAfter, max(minRetryAfter, wait))
 	}
-	return min(maxRetryAfter, max(minRetryAfter, wait-spare))
-}
-
-// clearTime returns how long the pool needs for the work that it holds.
-func (p *Pool) clearTime(now Time) time.Duration {
-	if p.load.valid && now.Steady-p.load.at < loadEvery {
-		return p.load.clear
+	p.backlog.total += work
+	if onTime {
+		p.backlog.onTime += work
 	}
-	capacity := p.capacity()
-	var total time.Duration
-	for _, j := range p.jobs {
-		if j.phase == Active && !j.spec.lasting() {
-			total += p.openWork(j, capacity)
-		}
-	}
-	p.load = loadWindow{at: now.Steady, clear: total, valid: true}
-	return total
+	return 0
 }
 
 // capacity returns the room for tasks that do not last.
@@ -69,34 +55,6 @@
 	return c
 }
 
-// openWork returns the time that the pool needs for the rest of a job. A running task counts half.
-func (p *Pool) openWork(j *jobState, capacity Resources) time.Duration {
-	var total time.Duration
-	for _, o := range j.occurrences {
-		for i, tasks := range o.steps {
-			if o.open[i] == 0 {
-				continue
-			}
-			step := &j.spec.Steps[i]
-			each := p.taskWork(j.spec.Queue, step, capacity)
-			for _, t := range tasks {
-				if t.done {
-					continue
-				}
-				if t.run != nil {
-					total += each / 2
-					continue
-				}
-				total += each
-			}
-		}
-	}
-	if !j.stored {
-		total += p.work(j.spec)
-	}
-	return total
-}
-
 // work returns the time that the pool needs for a whole job.
 func (p *Pool) work(s *Spec) time.Duration {
 	capacity := p.capacity()
--- a/job/pool.go
+++ b/job/pool.go
@@ -35,7 +35,7 @@
 	endsPending   bool // ends of tasks of unknown jobs wait for being forgotten
 	begin         Time
 	estimates     estimates
-	load          loadWindow
+	backlog       backlog
 	events        []Event
 }
 
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -14,6 +14,8 @@
 	precedenceLasting precedence = iota
 	precedenceOnTime
 	precedenceLate
+	// precedenceOverdue is of jobs whose result is of no use to the caller any more. They are done nevertheless.
+	precedenceOverdue
 )
 
 // waiting is an occurrence with tasks to start.
@@ -28,11 +30,12 @@
 // schedule starts waiting tasks where there is room.
 func (p *Pool) schedule(now Time) {
 	blocked := now.Steady < p.unlooked()
+	queue := p.queue(now)
 	pass := newPass(p, now)
 	if len(pass.usable) == 0 {
 		return
 	}
-	for _, w := range p.queue(now) {
+	for _, w := range queue {
 		p.startOccurrence(w, pass, blocked, now)
 	}
 }
@@ -65,9 +68,15 @@
 func (p *Pool) postpone(q []waiting, now Time) bool {
 	capacity := p.capacity()
 	ahead := p.runningWork(capacity)
+	total := ahead
 	found := false
 	for i := range q {
 		w := &q[i]
+		if w.precedence == precedenceLasting {
+			continue
+		}
+		work := p.waitingWork(w, capacity)
+		total += work
 		if w.precedence != precedenceOnTime {
 			continue
 		}
@@ -76,8 +85,9 @@
 			found = true
 			continue
 		}
-		ahead += p.waitingWork(w, capacity)
+		ahead += work
 	}
+	p.backlog = backlog{onTime: ahead, total: total}
 	return found
 }
 
@@ -125,7 +135,10 @@
 	}
 	w.remaining = p.remaining(j, o)
 	w.latest = begin + j.spec.objective() - w.remaining
-	if now.Steady > w.latest {
+	switch {
+	case now.Steady > begin+lateFactor*j.spec.objective()-w.remaining:
+		w.precedence = precedenceOverdue
+	case now.Steady > w.latest:
 		w.precedence = precedenceLate
 	}
 	return w
--- a/job/submit.go
+++ b/job/submit.go
@@ -37,7 +37,7 @@
 		}
 		return Pending, 0
 	}
-	if wait := p.overload(s, now); wait > 0 {
+	if wait := p.overload(s); wait > 0 {
 		p.event(Event{Kind: "job refused", Job: s.ID, Queue: s.Queue, AgeMs: wait.Milliseconds()})
 		return Refused, wait
 	}
