--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,10 +107,19 @@
 	Evacuate map[string][]string
 	// Status holds the waves whose state changed; the value tells whether the wave is completed.
 	Status map[int64]bool
+	// Balances holds the size and need of each pool, for the log.
+	Balances []Balance
 	// Progress holds the machines that had their maintenance, of the waves for which the set changed.
 	Progress map[int64][]string
 }
 
+// Balance is the state of a pool in a round of moves.
+type Balance struct {
+	Pool string
+	Size int // machines, with those on their way here and without those on their way elsewhere
+	Need int
+}
+
 // operation is a change of a machine that is under way.
 type operation struct {
 	order   Order
@@ -133,6 +142,8 @@
 	pools    map[string]Pool
 	// given is when a machine last joined or left a pool, so that machines do not swing between pools.
 	given map[string]time.Duration
+	// demand is the moving average of each pool's demand.
+	demand map[string]demandAverage
 	// mismatch holds moves that the platform refuses, because the pools have different machines.
 	mismatch map[route]bool
 }
@@ -145,7 +156,7 @@
 	return &Controller{
 		begin: begin, ops: make(map[string]*operation), waves: make(map[int64]*waveState),
 		idle: make(map[string]time.Duration), given: make(map[string]time.Duration),
-		mismatch: make(map[route]bool),
+		mismatch: make(map[route]bool), demand: make(map[string]demandAverage),
 	}
 }
 
@@ -167,6 +178,7 @@
 	}
 	c.finishOperations(now)
 	c.trackIdle(now)
+	c.trackDemand(now)
 }
 
 const (
@@ -249,7 +261,7 @@
 func (c *Controller) Plan(now time.Duration) Plan {
 	p := Plan{Evacuate: make(map[string][]string), Status: make(map[int64]bool), Progress: make(map[int64][]string)}
 	c.planWaves(now)
-	c.planMoves(now)
+	c.planMoves(&p, now)
 	c.collect(&p, now)
 	return p
 }
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -10,7 +12,10 @@
 	// targetUse is the use of a pool's machines above which it asks for more. Tasks do not fill machines wholly.
 	targetUse = 0.85
 	// reserve is the number of machines that a pool keeps beyond its use, for the first moments of a peak.
-	reserve = 2
+	reserve = 5
+	// demandWindow is the time over which demand is averaged to find its rise. It is about the time until a machine that
+	// moves serves in its new pool.
+	demandWindow = 2 * time.Second
 	// minPool is the least size of a pool.
 	minPool = 3
 	// stayFor is how long a machine stays in a pool before it is given away again.
@@ -21,46 +26,42 @@
 	movesAtOnce = 12
 )
 
-// balance is the state of a pool in a round of moves.
-type balance struct {
-	pool string
-	size int // machines, with those on their way here and without those on their way elsewhere
-	need int
-}
-
 // planMoves moves machines to pools that lack room, and idle ones to standby.
 //
 // It answers demand that turns: each queue in its time asks for more than its pool holds while others run at a fraction of
 // theirs. Machines that run nothing follow the work; a task is never ended for a move.
-func (c *Controller) planMoves(now time.Duration) {
+func (c *Controller) planMoves(p *Plan, now time.Duration) {
 	if now < c.begin {
 		return
 	}
 	balances := c.balances()
-	lacking := make([]*balance, 0, len(balances))
+	lacking := make([]*Balance, 0, len(balances))
 	for _, b := range balances {
-		if b.need > b.size {
+		if b.Need > b.Size {
 			lacking = append(lacking, b)
 		}
 	}
-	slices.SortFunc(lacking, func(a, b *balance) int {
-		return cmp.Or(cmp.Compare(b.need-b.size, a.need-a.size), cmp.Compare(a.pool, b.pool))
+	slices.SortFunc(lacking, func(a, b *Balance) int {
+		return cmp.Or(cmp.Compare(b.Need-b.Size, a.Need-a.Size), cmp.Compare(a.Pool, b.Pool))
 	})
 	for _, b := range lacking {
 		c.fill(b, balances, now)
 	}
 	c.park(balances, now)
+	for _, pool := range slices.Sorted(maps.Keys(balances)) {
+		p.Balances = append(p.Balances, *balances[pool])
+	}
 }
 
 // balances returns the size and need of each pool whose owner answers.
-func (c *Controller) balances() map[string]*balance {
-	out := make(map[string]*balance)
+func (c *Controller) balances() map[string]*Balance {
+	out := make(map[string]*Balance)
 	for pool, load := range c.seen.Loads {
 		if c.pools[pool].Standby {
 			continue
 		}
-		need := int((load.Used+load.Waiting)/targetUse) + reserve
-		out[pool] = &balance{pool: pool, need: max(minPool, load.Least, need)}
+		need := int(c.forecast(pool, load)/targetUse) + reserve
+		out[pool] = &Balance{Pool: pool, Need: max(minPool, load.Least, need)}
 	}
 	for _, m := range c.seen.Machines {
 		pool := m.Pool
@@ -69,42 +70,77 @@
 			pool = op.order.Pool
 		}
 		if b := out[pool]; b != nil && m.State != Down {
-			b.size++
+			b.Size++
 		}
 	}
 	return out
 }
 
+// forecast returns the machines that a pool will need when a machine that moves now arrives there.
+//
+// It answers the rise of a peak: what is asked for now is too little by the time the machines are there.
+func (c *Controller) forecast(pool string, load Load) float64 {
+	demand := load.Used + load.Waiting
+	past, ok := c.demand[pool]
+	if !ok {
+		return demand
+	}
+	rise := max(0, demand-past.average)
+	return demand + rise
+}
+
+// trackDemand keeps a moving average of what each pool needs.
+func (c *Controller) trackDemand(now time.Duration) {
+	for pool, load := range c.seen.Loads {
+		demand := load.Used + load.Waiting
+		past, ok := c.demand[pool]
+		if !ok {
+			c.demand[pool] = demandAverage{average: demand, at: now}
+			continue
+		}
+		weight := 1 - math.Exp(-float64(now-past.at)/float64(demandWindow))
+		c.demand[pool] = demandAverage{average: past.average + (demand-past.average)*weight, at: now}
+	}
+}
+
+// demandAverage is a moving average of the machines that a pool needs.
+type demandAverage struct {
+	average float64
+	at      time.Duration
+}
+
 // fill moves machines to a pool until it has what it needs or there are none to spare.
-func (c *Controller) fill(b *balance, balances map[string]*balance, now time.Duration) {
+func (c *Controller) fill(b *Balance, balances map[string]*Balance, now time.Duration) {
 	moving := 0
 	for _, op := range c.ops {
-		if op.order.Kind == OrderMove && op.order.Pool == b.pool {
+		if op.order.Kind == OrderMove && op.order.Pool == b.Pool {
 			moving++
 		}
 	}
 	for _, m := range c.spare(balances, now) {
-		if b.size >= b.need || moving >= movesAtOnce {
+		if b.Size >= b.Need || moving >= movesAtOnce {
 			return
 		}
-		if m.Pool == b.pool || c.mismatch[route{m.Pool, b.pool}] {
+		if m.Pool == b.Pool || c.mismatch[route{m.Pool, b.Pool}] {
 			continue
 		}
 		if donor := balances[m.Pool]; donor != nil {
-			if donor.size <= donor.need {
+			if donor.Size <= donor.Need {
 				continue
 			}
-			donor.size--
+			donor.Size--
 		}
-		b.size++
+		b.Size++
 		moving++
-		c.move(m, b.pool, now)
+		c.move(m, b.Pool, now)
 	}
 }
 
-// spare returns the machines that can be taken without ending a task: those on standby first, then idle ones.
-func (c *Controller) spare(balances map[string]*balance, now time.Duration) []Machine {
-	var standby, idle []Machine
+// spare returns the machines that can be given away, the best first: those on standby, then those that run least. Tasks
+// that run are left to end before a machine moves; machines with lasting tasks stay.
+func (c *Controller) spare(balances map[string]*Balance, now time.Duration) []Machine {
+	var standby, others []Machine
+	effort := make(map[string]int)
 	for _, m := range c.sortedMachines() {
 		if m.State != Up || c.ops[m.Host] != nil {
 			continue
@@ -113,11 +149,15 @@
 			standby = append(standby, m)
 			continue
 		}
-		if balances[m.Pool] != nil && c.isIdle(m) && now-c.given[m.Host] >= stayFor {
-			idle = append(idle, m)
+		w, ok := c.load(m)
+		if !ok || w.Lasting > 0 || balances[m.Pool] == nil || now-c.given[m.Host] < stayFor {
+			continue
 		}
+		effort[m.Host] = w.Runs
+		others = append(others, m)
 	}
-	return append(standby, idle...)
+	slices.SortStableFunc(others, func(a, b Machine) int { return cmp.Compare(effort[a.Host], effort[b.Host]) })
+	return append(standby, others...)
 }
 
 func (c *Controller) isIdle(m Machine) bool {
@@ -126,21 +166,21 @@
 }
 
 // park puts machines that have been idle on standby, as long as their pool keeps what it needs.
-func (c *Controller) park(balances map[string]*balance, now time.Duration) {
+func (c *Controller) park(balances map[string]*Balance, now time.Duration) {
 	standby := c.standbyPool()
 	if standby == "" {
 		return
 	}
 	for _, m := range c.sortedMachines() {
 		b := balances[m.Pool]
-		if b == nil || m.State != Up || c.ops[m.Host] != nil || !c.isIdle(m) || b.size <= b.need {
+		if b == nil || m.State != Up || c.ops[m.Host] != nil || !c.isIdle(m) || b.Size <= b.Need {
 			continue
 		}
 		since, idle := c.idle[m.Host]
 		if !idle || now-since < parkAfter || now-c.given[m.Host] < stayFor {
 			continue
 		}
-		b.size--
+		b.Size--
 		c.move(m, standby, now)
 	}
 }
--- a/job/load.go
+++ b/job/load.go
@@ -8,13 +8,9 @@
 	capacity := p.machine()
 	for _, w := range p.sortedWorkers() {
 		l.Used += w.used.Share(capacity)
-		load := fleet.WorkerLoad{Worker: w.info.ID, Runs: len(w.runs) + len(w.strays), Empty: p.Empty(w.info.ID)}
-		for _, r := range w.runs {
-			if r.task.step.Lasting {
-				load.Lasting++
-			}
-		}
-		l.Workers = append(l.Workers, load)
+		l.Workers = append(l.Workers, fleet.WorkerLoad{
+			Worker: w.info.ID, Runs: len(w.runs) + len(w.strays), Lasting: w.lasting(), Empty: p.Empty(w.info.ID),
+		})
 	}
 	l.Waiting = p.waitingShare(capacity)
 	l.Least = p.leastWorkers()
--- a/job/place.go
+++ b/job/place.go
@@ -112,8 +112,9 @@
 		// Filling tasks get what others leave, and they disturb serving tasks.
 		score += 10*(1-share) - 5*float64(w.serving())
 	case s.Lasting:
-		// Lasting tasks are spread, so that the loss of a worker takes few of a step.
-		score += 10*(1-share) - 20*float64(w.tasksOf(t)) - 2*float64(ps.onRack(t, w.info.Rack))
+		// The tasks of a step are spread, so that the loss of a worker takes few of them. The steps share workers, so that
+		// the other workers can move to other pools.
+		score += 10*min(1, float64(w.lasting())) - 20*float64(w.tasksOf(t)) - 2*float64(ps.onRack(t, w.info.Rack))
 	default:
 		// Short tasks are packed, which keeps room for large ones.
 		score += share
@@ -121,6 +122,17 @@
 	return score
 }
 
+// lasting counts the lasting tasks on a worker.
+func (w *worker) lasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step.Lasting {
+			n++
+		}
+	}
+	return n
+}
+
 // serving counts the tasks on a worker whose latency has a bound.
 func (w *worker) serving() int {
 	n := 0
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -23,6 +23,8 @@
 	machinesEvery = 400 * time.Millisecond
 	// loadTimeout bounds the request for a pool's load.
 	loadTimeout = 300 * time.Millisecond
+	// balanceEvery is the time between log lines on the sizes of the pools.
+	balanceEvery = time.Second
 	// machineTimeout bounds an order for a machine.
 	machineTimeout = time.Second
 	// waveKey begins the keys of the stored progress of waves.
@@ -39,6 +41,7 @@
 	listedAt   time.Duration
 	evacuate   map[string][]string
 	published  map[int64]bool // waves whose state has to be published
+	loggedAt   time.Duration
 }
 
 // waveProgress is the stored progress of a wave.
@@ -109,6 +112,7 @@
 	plan := f.controller.Plan(now.Steady)
 	f.mu.Unlock()
 	f.evacuate = plan.Evacuate
+	f.logBalances(plan, now)
 	for _, o := range plan.Orders {
 		go f.order(o)
 	}
@@ -116,6 +120,17 @@
 	f.publish(plan)
 }
 
+// logBalances writes the size and need of each pool.
+func (f *fleetLoop) logBalances(plan fleet.Plan, now job.Time) {
+	if now.Steady-f.loggedAt < balanceEvery {
+		return
+	}
+	f.loggedAt = now.Steady
+	for _, b := range plan.Balances {
+		f.node.log.Event(LogEvent{Part: "fleet", What: "pool", Pool: b.Pool, Count: b.Size, Why: "need " + strconv.Itoa(b.Need)})
+	}
+}
+
 func fleetPools(c *Config) []fleet.Pool {
 	pools := make([]fleet.Pool, len(c.Pools))
 	for i, p := range c.Pools {
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -30,7 +30,7 @@
 	// ownersAtOnce is the least time between reads that failed requests ask for.
 	ownersAtOnce = 150 * time.Millisecond
 	// directoryEvery is the time between reads of the directory by a node that owns a pool.
-	directoryEvery = 400 * time.Millisecond
+	directoryEvery = 250 * time.Millisecond
 	// failurePause is the pause after a failed read.
 	failurePause = 200 * time.Millisecond
 )
