--- a/job/order.go
+++ b/job/order.go
@@ -127,10 +127,17 @@
 	case ResultNoAnswer:
 		// Repeated by repeatOrders; the worker's reports may confirm it first.
 	case ResultOldRun:
+		// The run may have been carried out and ended since an earlier try; the next report tells.
 		r.task.lastRun += runGap
-		p.release(r, now)
+		r.state = runActive
+		r.active = now.Steady
 	case ResultRefused, ResultNoRoom, ResultLate, ResultTicket:
 		w.distrusted = max(w.distrusted, now.Steady+refusedPause)
+		if r.tries > 1 {
+			// An earlier try without an answer may still be carried out, unless a stop comes before it.
+			p.stop(r, now)
+			return
+		}
 		p.release(r, now)
 	case ResultInvalid:
 		p.release(r, now)
--- /dev/null
+++ b/job/order_test.go
@@ -0,0 +1,78 @@
+package job
+
+import (
+	"testing"
+	"time"
+)
+
+// TestOldRunWaitsForReport guards against a second start of a task that is done: the answer to its start was lost, the run
+// ended before the start was repeated, and the worker refused the repetition as old.
+func TestOldRunWaitsForReport(t *testing.T) {
+	p := newTestPool(t, "a", "b")
+	p.submit(oneStep("x", 1, 1000))
+	first := starts(p.tick())
+	if len(first) != 1 {
+		t.Fatalf("%d starts, want 1", len(first))
+	}
+	o := first[0]
+	p.Started(o, ResultNoAnswer, p.now)
+	p.advance(repeatAfter)
+	p.report("a")
+	p.report("b")
+	again := starts(p.tick())
+	if len(again) != 1 || again[0].Worker != o.Worker || again[0].Run != o.Run {
+		t.Fatalf("repeated %+v, want %+v", again, o)
+	}
+	p.Started(o, ResultOldRun, p.now)
+	if s := starts(p.tick()); len(s) != 0 {
+		t.Fatalf("started %+v, although the run may have ended as done", s)
+	}
+	p.advance(time.Millisecond)
+	p.ends(o.Worker, EndedTask{Number: 1, Task: o.Task, Run: o.Run, How: EndDone})
+	p.tick()
+	p.commit()
+	if got, _ := p.StateOf("x"); got != StateCompleted {
+		t.Fatalf("state %q, want %q", got, StateCompleted)
+	}
+}
+
+// TestOldRunWithoutReportStartsAgain guards against a task that waits for ever after its run was refused as old.
+func TestOldRunWithoutReportStartsAgain(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.submit(oneStep("x", 1, 1000))
+	o := starts(p.tick())[0]
+	p.Started(o, ResultOldRun, p.now)
+	p.advance(10 * time.Millisecond)
+	p.report("a")
+	s := starts(p.tick())
+	if len(s) != 1 || s[0].Run <= o.Run {
+		t.Fatalf("started %+v, want a greater run than %d", s, o.Run)
+	}
+}
+
+// TestRefusalOfRepetitionStopsFirst guards against two runs of a task: the worker refuses the repetition of a start, but
+// may still carry out the first try, whose answer did not come.
+func TestRefusalOfRepetitionStopsFirst(t *testing.T) {
+	p := newTestPool(t, "a", "b")
+	p.submit(oneStep("x", 1, 1000))
+	o := starts(p.tick())[0]
+	p.Started(o, ResultNoAnswer, p.now)
+	p.advance(repeatAfter)
+	p.report("a")
+	p.report("b")
+	p.tick()
+	p.Started(o, ResultNoRoom, p.now)
+	orders := p.tick()
+	if len(starts(orders)) != 0 || len(stops(orders)) != 1 {
+		t.Fatalf("orders %+v, want just a stop", orders)
+	}
+	p.Stopped(stops(orders)[0], ResultDone, p.now)
+	p.advance(10 * time.Millisecond)
+	p.report(o.Worker)
+	p.advance(refusedPause)
+	p.report("a")
+	p.report("b")
+	if s := starts(p.tick()); len(s) != 1 {
+		t.Fatalf("%d starts after the stop was settled, want 1", len(s))
+	}
+}
