Bound rounds of scheduling by their share of time; size reserve and moves by the fleet

Pools are filled to at most 100 machines, upkeep runs apart from scheduling, and a round takes at most a sixth of the time.

--- a/fleet/move.go
+++ b/fleet/move.go
@@ -11,19 +11,22 @@
 const (
 	// targetUse is the use of a pool's machines above which it asks for more. Tasks do not fill machines wholly.
 	targetUse = 0.85
-	// reserve is the number of machines that a pool keeps beyond its use, for the first moments of a peak.
-	reserve = 5
+	// reserveShare is the part of all machines that each pool keeps beyond its use, for the first moments of a peak.
+	reserveShare = 0.1
 	// demandWindow is the time over which demand is averaged to find its rise. It is about the time until a machine that
 	// moves serves in its new pool.
 	demandWindow = 2 * time.Second
 	// minPool is the least size of a pool.
 	minPool = 3
+	// maxPool is the greatest size to which a pool is filled. The owner of a pool keeps in touch with each worker; on a node
+	// with a fifth of a core it could not extend the leases of 166 workers in a flood.
+	maxPool = 100
 	// stayFor is how long a machine stays in a pool before it is given away again.
 	stayFor = 2500 * time.Millisecond
 	// parkAfter is how long a machine must run nothing before it is put on standby.
 	parkAfter = 2500 * time.Millisecond
-	// movesAtOnce bounds the machines on the move to one pool.
-	movesAtOnce = 12
+	// movesShare bounds the machines on the move to one pool, as a part of all machines.
+	movesShare = 0.25
 )
 
 // planMoves moves machines to pools that lack room, and idle ones to standby.
@@ -60,8 +63,8 @@
 		if c.pools[pool].Standby {
 			continue
 		}
-		need := int(c.forecast(pool, load)/targetUse) + reserve
-		out[pool] = &Balance{Pool: pool, Need: max(minPool, load.Least, need)}
+		need := int(c.forecast(pool, load)/targetUse) + c.part(reserveShare)
+		out[pool] = &Balance{Pool: pool, Need: min(maxPool, max(minPool, load.Least, need))}
 	}
 	for _, m := range c.seen.Machines {
 		pool := m.Pool
@@ -76,6 +79,9 @@
 	return out
 }
 
+// part returns a part of all machines, rounded up.
+func (c *Controller) part(share float64) int { return int(math.Ceil(share * float64(len(c.seen.Machines)))) }
+
 // forecast returns the machines that a pool will need when a machine that moves now arrives there.
 //
 // It answers the rise of a peak: what is asked for now is too little by the time the machines are there.
@@ -118,7 +124,7 @@
 		}
 	}
 	for _, m := range c.spare(balances, now) {
-		if b.Size >= b.Need || moving >= movesAtOnce {
+		if b.Size >= b.Need || moving >= c.part(movesShare) {
 			return
 		}
 		if m.Pool == b.Pool || c.mismatch[route{m.Pool, b.Pool}] {
--- a/job/pool.go
+++ b/job/pool.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// upkeepEvery is the time between looks for what is due by time. It is small against the time bounds of orders and leases.
+const upkeepEvery = 40 * time.Millisecond
+
 // Config holds the bounds of a Pool.
 type Config struct {
 	Pool string
@@ -31,6 +34,7 @@
 	dirty   map[string]*jobState
 	// workerRecords holds changes of the stored set of workers.
 	workerRecords map[string]Record
+	upkeepAt      time.Duration // time of the last upkeep
 	committing    bool
 	endsPending   bool // ends of tasks of unknown jobs wait for being forgotten
 	begin         Time
@@ -259,9 +263,18 @@
 	p.event(Event{Kind: "job " + string(phase), Job: j.spec.ID, AgeMs: (now.Steady - j.accepted).Milliseconds()})
 }
 
-// Tick advances the pool: it opens due occurrences, ends runs on workers whose lease has expired, repeats orders,
+// Tick advances the pool: at times it opens due occurrences, ends runs on workers whose lease has expired, repeats orders,
 // schedules waiting tasks and forgets old jobs.
 func (p *Pool) Tick(now Time) {
+	if now.Steady-p.upkeepAt >= upkeepEvery {
+		p.upkeepAt = now.Steady
+		p.upkeep(now)
+	}
+	p.schedule(now)
+}
+
+// upkeep does what is due by time rather than by events.
+func (p *Pool) upkeep(now Time) {
 	p.expire(now)
 	for id, j := range p.jobs {
 		p.tickJob(id, j, now)
@@ -269,7 +282,6 @@
 	p.repeatOrders(now)
 	p.evacuate(now)
 	p.pace(now)
-	p.schedule(now)
 }
 
 func (p *Pool) tickJob(id string, j *jobState, now Time) {
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -15,6 +15,9 @@
 	inboxSize = 512
 	// stepEvery is the least time between rounds of scheduling.
 	stepEvery = 8 * time.Millisecond
+	// stepShare bounds the part of the time that rounds take: after a round of d, the next waits for stepShare times d. A
+	// round of a large pool in a flood takes milliseconds, and the process also serves callers and workers.
+	stepShare = 5
 	// idleStep is the time between rounds while nothing happens.
 	idleStep = 60 * time.Millisecond
 	// commitEvery is the least time between the begins of commits; what happens meanwhile is stored in one append.
@@ -75,6 +78,7 @@
 	commitAt  time.Duration            // begin of the outstanding commit, 0 if there is none
 	lastAt    time.Duration            // begin of the last commit
 	stepAt    time.Duration
+	stepTook  time.Duration // duration of the last round
 }
 
 func newShard(n *Node, number int) *shard {
@@ -165,12 +169,13 @@
 		case <-timer.C:
 		}
 		now := s.node.clock.Now()
-		wait := s.stepAt + stepEvery - now.Steady
+		wait := s.stepAt + max(stepEvery, stepShare*s.stepTook) - now.Steady
 		if wait > 0 {
 			timer.Reset(wait)
 			continue
 		}
 		s.step(now)
+		s.stepTook = s.node.clock.Now().Steady - now.Steady
 		timer.Reset(idleStep)
 	}
 }
