Test the whole path on stand-ins of the store, the workers and the machines

The stand-ins speak the platform's protocol and live beside the adapter. The tests found that a closing node did not wait for its worker links, which then logged to a closed log (panic).

--- /dev/null
+++ b/jobdaemon/daemon_test.go
@@ -0,0 +1,292 @@
+package jobdaemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/berylwharf/berylwharf/jobmanager"
+	"github.com/berylwharf/berylwharf/platform/standin"
+)
+
+// eventually is the patience of the tests; nothing that they check depends on it.
+const eventually = 60 * time.Second
+
+// system is a platform with nodes on it.
+type system struct {
+	t        *testing.T
+	store    *standin.Store
+	workers  []*standin.Worker
+	machines *standin.Machines
+	nodes    map[string]*Daemon
+	callers  map[string]string // address by node
+	log      syncBuffer
+}
+
+// syncBuffer collects the logs of all nodes.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func newSystem(t *testing.T, nodes int) *system {
+	t.Helper()
+	s := &system{
+		t: t, store: standin.NewStore(4), nodes: make(map[string]*Daemon), callers: make(map[string]string),
+	}
+	for i := range 4 {
+		w := standin.NewWorker(fmt.Sprintf("w%d", i), "pool", fmt.Sprintf("m%d", i))
+		t.Cleanup(w.Server.CloseClientConnections)
+		s.workers = append(s.workers, w)
+		s.store.Put("keyed.servers", w.ID, w.Entry())
+	}
+	s.machines = standin.NewMachines(s.workers)
+	s.store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"q","host":"h","pathPrefix":"/q/",
+		"backend":"pool","timeoutMs":20000,"attempts":2,"slackFactor":100,"sloMs":60000}],
+		"services":[{"name":"pool"}],"limits":{"maxBodyBytes":100000}}`))
+	store, machines := httptest.NewServer(s.store), httptest.NewServer(s.machines)
+	t.Cleanup(store.CloseClientConnections)
+	t.Cleanup(machines.CloseClientConnections)
+	for i := range nodes {
+		s.startNode(fmt.Sprintf("n%d", i), store.Listener.Addr().String(), machines.Listener.Addr().String())
+	}
+	t.Cleanup(s.finish)
+	return s
+}
+
+func (s *system) startNode(name, store, machines string) {
+	s.t.Helper()
+	settings := &jobmanager.Settings{
+		Node: name, Zone: "z", Callers: freeAddr(s.t), Readiness: freeAddr(s.t), Peers: freeAddr(s.t), Admin: freeAddr(s.t),
+		PeerKey: "a key of the tests", Store: store, Machines: machines, Shards: 4,
+		Bounds: jobmanager.Bounds{MaxLeaseMs: 6000, GraceS: 2, StatusS: 120, RackFactor: 2, OrderLeaseMs: 1000, CallBytes: 1 << 20},
+	}
+	d, err := Start(settings, &s.log)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.nodes[name] = d
+	s.callers[name] = settings.Callers
+	s.until("ready", func() bool { return d.node.Ready() })
+}
+
+func (s *system) finish() {
+	for _, d := range s.nodes {
+		d.Kill()
+	}
+	if s.t.Failed() {
+		s.t.Log(s.log.b.String())
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *system) until(what string, f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(eventually); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	s.t.Fatalf("not %s in time", what)
+}
+
+// call makes a call of a node and returns the status and body, or 0 when there was no answer.
+func (s *system) call(node, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+s.callers[node]+path, bytes.NewBufferString(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(b)
+}
+
+func jobID(i int) string { return fmt.Sprintf("%016x", i) }
+
+const twoSteps = `{"spec":"work","steps":[{"count":2,"cpu":500,"memMb":100,"estimateMs":150},
+	{"count":3,"cpu":500,"memMb":100,"estimateMs":150,"dependsOn":[0]}]}`
+
+func (s *system) state(node, id string) string {
+	status, body := s.call(node, http.MethodGet, "/q/"+id, "")
+	if status != http.StatusOK {
+		return ""
+	}
+	var v struct{ State string }
+	if err := json.Unmarshal([]byte(body), &v); err != nil {
+		s.t.Fatal(err)
+	}
+	return v.State
+}
+
+// owner returns the node that runs the pool's tasks.
+func (s *system) owner() string {
+	for name, d := range s.nodes {
+		if d.node.Owns("pool") {
+			return name
+		}
+	}
+	return ""
+}
+
+// checkRuns checks that no task ran twice at once or after it was done.
+func (s *system) checkRuns() {
+	s.t.Helper()
+	byTask := make(map[string][]standin.Start)
+	for _, w := range s.workers {
+		for _, st := range w.Starts() {
+			byTask[st.Task] = append(byTask[st.Task], st)
+		}
+	}
+	for task, runs := range byTask {
+		done := 0
+		for i, a := range runs {
+			if a.How == "done" {
+				done++
+			}
+			for _, b := range runs[i+1:] {
+				if a.Began.Before(b.Ended) && b.Began.Before(a.Ended) {
+					s.t.Errorf("task %s ran twice at once: %+v %+v", task, a, b)
+				}
+			}
+		}
+		if done > 1 {
+			s.t.Errorf("task %s was done %d times", task, done)
+		}
+	}
+}
+
+// TestJobsOnCalmDay guards the whole path: submissions at any node, repeated ones, states, cancellation and failure.
+func TestJobsOnCalmDay(t *testing.T) {
+	s := newSystem(t, 3)
+	s.until("owned", func() bool { return s.owner() != "" })
+	for i := range 12 {
+		node := fmt.Sprintf("n%d", i%3)
+		if status, body := s.call(node, http.MethodPost, "/q/"+jobID(i), twoSteps); status != http.StatusOK {
+			t.Fatalf("submission answered %d %s", status, body)
+		}
+		other := fmt.Sprintf("n%d", (i+1)%3)
+		if status, body := s.call(other, http.MethodPost, "/q/"+jobID(i), twoSteps); status != http.StatusOK {
+			t.Fatalf("repeated submission answered %d %s", status, body)
+		}
+	}
+	s.call("n0", http.MethodPost, "/q/"+jobID(100), `{"spec":"fail","steps":[{"count":1,"cpu":500}]}`)
+	s.call("n0", http.MethodPost, "/q/"+jobID(101), `{"spec":"lasting","steps":[{"count":2,"cpu":500,"daemon":true}]}`)
+	for i := range 12 {
+		s.until("completed", func() bool { return s.state("n1", jobID(i)) == "completed" })
+	}
+	s.until("failed", func() bool { return s.state("n2", jobID(100)) == "failed" })
+	if status, _ := s.call("n2", http.MethodDelete, "/q/"+jobID(101), ""); status != http.StatusOK {
+		t.Fatalf("cancellation answered %d", status)
+	}
+	s.until("canceled", func() bool { return s.state("n1", jobID(101)) == "canceled" })
+	for path, want := range map[string]int{
+		"/q/" + jobID(999): http.StatusGone, "/q/": http.StatusOK, "/nothing/x": http.StatusNotFound,
+	} {
+		if status, _ := s.call("n0", http.MethodGet, path, ""); status != want {
+			t.Errorf("GET %s answered %d, want %d", path, status, want)
+		}
+	}
+	if status, _ := s.call("n0", http.MethodPost, "/q/"+jobID(200), `{"steps":[{"count":0}]}`); status != http.StatusBadRequest {
+		t.Errorf("an invalid job answered %d", status)
+	}
+	s.checkRuns()
+}
+
+// TestOwnerKilled guards against lost and doubled tasks when the owner of a pool dies while they run, and workers lose
+// answers to starts.
+func TestOwnerKilled(t *testing.T) {
+	s := newSystem(t, 3)
+	s.until("owned", func() bool { return s.owner() != "" })
+	for _, w := range s.workers {
+		w.LoseAnswers(2)
+	}
+	const jobs = 20
+	owner := s.owner()
+	var node string
+	for name := range s.nodes {
+		if name != owner {
+			node = name
+		}
+	}
+	for i := range jobs {
+		if status, body := s.call(node, http.MethodPost, "/q/"+jobID(i), twoSteps); status != http.StatusOK {
+			t.Fatalf("submission answered %d %s", status, body)
+		}
+	}
+	s.nodes[owner].Kill()
+	delete(s.nodes, owner)
+	for i := range jobs {
+		s.until("completed", func() bool { return s.state(node, jobID(i)) == "completed" })
+	}
+	s.checkRuns()
+}
+
+// TestStoreLosesAnswers guards against jobs that are lost or doubled while the store carries out appends without answering,
+// and then is down for a while.
+func TestStoreLosesAnswers(t *testing.T) {
+	s := newSystem(t, 2)
+	s.until("owned", func() bool { return s.owner() != "" })
+	s.store.SetFaults(standin.Faults{LoseAppend: 6})
+	accepted := make(map[string]bool)
+	for i := range 10 {
+		status, _ := s.call(fmt.Sprintf("n%d", i%2), http.MethodPost, "/q/"+jobID(i), twoSteps)
+		accepted[jobID(i)] = status == http.StatusOK
+	}
+	s.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(500 * time.Millisecond)
+	s.store.SetFaults(standin.Faults{})
+	for id, ok := range accepted {
+		if ok {
+			s.until("completed", func() bool { return s.state("n0", id) == "completed" })
+		}
+	}
+	s.checkRuns()
+}
+
+// TestWaveOfMaintenance guards the declaration of a wave, its orders and its published state.
+func TestWaveOfMaintenance(t *testing.T) {
+	s := newSystem(t, 2)
+	s.until("owned", func() bool { return s.owner() != "" })
+	s.store.Put("keyed.op", "wave/7", []byte(`{"wave":7,"machines":["m0","m2"],"deadlineS":20,"cap":1}`))
+	s.until("published", func() bool { return len(s.store.Newest("keyed.status", "wave/7")) > 0 })
+	s.until("completed", func() bool { return string(s.store.Newest("keyed.status", "wave/7")) == `{"state":"completed"}` })
+	hosts := make(map[string]bool)
+	for _, o := range s.machines.Orders() {
+		if o.Path == "/berylwharf/machine-upkeep" {
+			hosts[o.Host] = true
+		}
+	}
+	if !hosts["m0"] || !hosts["m2"] || len(hosts) != 2 {
+		t.Fatalf("maintenance of %v, want m0 and m2", hosts)
+	}
+}
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -114,7 +114,7 @@
 	f.evacuate = plan.Evacuate
 	f.logBalances(plan, now)
 	for _, o := range plan.Orders {
-		go f.order(o)
+		f.node.wg.Go(func() { f.order(o) })
 	}
 	f.storeProgress(plan)
 	f.publish(plan)
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -177,7 +177,7 @@
 // this process expires at the worker.
 func (l *link) send(ctx context.Context, o job.Order, now job.Time) {
 	target, expires := l.target(), l.expires(now)
-	go func() {
+	l.shard.node.wg.Go(func() {
 		select {
 		case l.orders <- struct{}{}:
 			defer func() { <-l.orders }()
@@ -188,7 +188,7 @@
 		defer cancel()
 		result, err := l.shard.node.workers.Send(callCtx, target, o, expires)
 		l.finish(ctx, o, result, err)
-	}()
+	})
 }
 
 // finish applies the outcome of an order.
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -381,3 +381,6 @@
 	case <-t.C:
 	}
 }
+
+// Owns tells whether this node owns the shard of a pool.
+func (n *Node) Owns(pool string) bool { return n.shard(n.shardOf(pool)) != nil }
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -267,7 +267,7 @@
 		ctx, cancel := context.WithCancel(s.ctx)
 		l.cancel = cancel
 		s.links[w.Info.ID] = l
-		go l.run(ctx)
+		s.node.wg.Go(func() { l.run(ctx) })
 	}
 	for id, l := range s.links {
 		if l.pool == p && !known[id] {
@@ -296,7 +296,7 @@
 		return
 	}
 	s.commitAt, s.lastAt = now.Steady, now.Steady
-	go s.store(commits, records)
+	s.node.wg.Go(func() { s.store(commits, records) })
 }
 
 // store appends the records of a commit, repeating calls without an answer, and reports back.
