Check the core of jobs against a model under random faults

Runs without a confirmation before the last report of a life are now kept until the reports of the next life settle them.

--- /dev/null
+++ b/job/model_test.go
@@ -0,0 +1,534 @@
+package job
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The model runs owners of one pool against workers and a store under random faults: orders and answers lost, orders carried
+// out late, workers that go dark or are reborn, owners that are replaced without knowing it. It replays one schedule with
+//
+//	go test ./job -run TestModel -model.seed=N -model.schedules=1
+var (
+	modelSeed      = flag.Uint64("model.seed", 1, "first seed of TestModel")
+	modelTrace     = flag.Bool("model.trace", false, "print the owners' events")
+	modelSchedules = flag.Int("model.schedules", 1500, "schedules of TestModel")
+)
+
+const (
+	modelStep    = 20 * time.Millisecond
+	modelLease   = 5 * time.Second
+	modelTTL     = 2 * time.Second
+	modelFaults  = 12 * time.Second // faults end
+	modelHorizon = 45 * time.Second // all jobs have ended
+)
+
+// modelRun is a run at a worker.
+type modelRun struct {
+	id     TaskID
+	run    int
+	ends   time.Duration // 0 never
+	fails  bool
+	size   Resources
+	number int64
+	how    End
+	endAt  time.Duration
+	lapsed bool // the worker's lease lapsed after the end
+}
+
+type modelWorker struct {
+	id       string
+	born     int64
+	dark     bool
+	fence    int64
+	expires  time.Duration
+	running  map[TaskID]*modelRun
+	ended    []*modelRun
+	number   int64
+	highest  map[TaskID]int
+	capacity Resources
+}
+
+// modelOwner is an owner with its view of the store's epoch.
+type modelOwner struct {
+	pool      *Pool
+	epoch     int64
+	confirmed time.Duration // may order until
+	answered  map[string]time.Duration
+	nextHold  map[string]time.Duration
+}
+
+// message is an order or report on its way.
+type message struct {
+	at time.Duration
+	do func()
+}
+
+type model struct {
+	rnd      *rand.Rand
+	now      Time
+	workers  []*modelWorker
+	owners   []*modelOwner
+	epoch    int64
+	store    map[string][]byte
+	inFlight []message
+	accepted map[string]*Spec
+	cancels  map[string]time.Duration
+	done     map[TaskID]bool // ended as done, anywhere
+	noted    map[TaskID]bool // that end was taken note of
+	failed   map[TaskID]map[int]bool
+	errs     []string
+	next     int
+}
+
+func newModel(seed uint64) *model {
+	m := &model{
+		rnd: rand.New(rand.NewPCG(seed, 7)), now: Time{Steady: time.Hour, WallMs: 1_000_000},
+		store: make(map[string][]byte), accepted: make(map[string]*Spec), cancels: make(map[string]time.Duration),
+		done: make(map[TaskID]bool), noted: make(map[TaskID]bool), failed: make(map[TaskID]map[int]bool),
+	}
+	for i := range 3 {
+		m.workers = append(m.workers, &modelWorker{
+			id: fmt.Sprintf("w%d", i), capacity: Resources{CPU: 4000, MemMB: 4000},
+		})
+		m.rebirth(m.workers[i])
+	}
+	m.takeOver()
+	return m
+}
+
+func (m *model) errorf(format string, args ...any) {
+	m.errs = append(m.errs, fmt.Sprintf("%v: ", m.now.Steady-time.Hour)+fmt.Sprintf(format, args...))
+}
+
+func (m *model) rebirth(w *modelWorker) {
+	w.born++
+	w.fence, w.expires, w.number = 0, 0, 0
+	w.running, w.highest, w.ended = make(map[TaskID]*modelRun), make(map[TaskID]int), nil
+}
+
+// takeOver makes a new owner from the store. The old one does not know and goes on for a while.
+func (m *model) takeOver() {
+	m.epoch++
+	var records []Record
+	for k, v := range m.store {
+		records = append(records, Record{Key: k, Value: v})
+	}
+	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	lease := modelLease + modelLease/30
+	o := &modelOwner{
+		epoch: m.epoch, answered: make(map[string]time.Duration), nextHold: make(map[string]time.Duration),
+		pool: New(Config{
+			Pool: "pool", RunBase: 1 + int(m.epoch-1)*64, MaxLease: lease, InheritedLease: modelTTL + lease,
+			KeepFinished: time.Minute, RackFactor: 2,
+		}, m.now),
+	}
+	o.pool.Restore(Decode(records), m.now)
+	for _, old := range m.owners {
+		old.confirmed = min(old.confirmed, m.now.Steady+modelTTL)
+	}
+	o.confirmed = m.now.Steady + time.Hour
+	m.owners = append(m.owners, o)
+}
+
+func (m *model) owner() *modelOwner { return m.owners[len(m.owners)-1] }
+
+func (m *model) faulty() bool { return m.now.Steady-time.Hour < modelFaults }
+
+// chance is true with probability p while faults go on.
+func (m *model) chance(p float64) bool { return m.faulty() && m.rnd.Float64() < p }
+
+// send delivers f soon, late or never.
+func (m *model) send(f func()) {
+	switch {
+	case m.chance(0.04):
+		return
+	case m.chance(0.04):
+		m.inFlight = append(m.inFlight, message{m.now.Steady + time.Duration(m.rnd.IntN(6000))*time.Millisecond, f})
+	default:
+		m.inFlight = append(m.inFlight, message{m.now.Steady + time.Duration(m.rnd.IntN(30))*time.Millisecond, f})
+	}
+}
+
+func (m *model) submit() {
+	id := fmt.Sprintf("j%d", m.next)
+	m.next++
+	s := &Spec{ID: id, Pool: "pool", Queue: "q", Attempts: 2, Slack: 1000, Grace: time.Hour, AcceptedMs: m.now.WallMs}
+	for i := range 1 + m.rnd.IntN(3) {
+		step := Step{Count: 1 + m.rnd.IntN(4), Request: Resources{CPU: int64(500 + m.rnd.IntN(2000)), MemMB: 100}, Estimate: time.Second}
+		if i > 0 {
+			step.DependsOn = []int{i - 1}
+		}
+		if m.rnd.IntN(4) == 0 {
+			step.MaxPerWorker = 2
+		}
+		s.Steps = append(s.Steps, step)
+	}
+	m.owner().pool.Submit(s, m.now)
+	m.accepted[id] = s
+}
+
+func (m *model) step() {
+	m.now.Steady += modelStep
+	m.now.WallMs += modelStep.Milliseconds()
+	m.faults()
+	if m.now.Steady-time.Hour < modelFaults && m.rnd.IntN(25) == 0 {
+		m.submit()
+	}
+	for _, w := range m.workers {
+		m.advance(w)
+	}
+	m.deliver()
+	for _, o := range m.owners {
+		if m.now.Steady < o.confirmed {
+			m.stepOwner(o)
+		}
+	}
+}
+
+func (m *model) faults() {
+	if m.chance(0.004) {
+		m.takeOver()
+	}
+	for _, w := range m.workers {
+		switch {
+		case m.chance(0.003):
+			w.dark = !w.dark
+		case m.chance(0.001):
+			m.rebirth(w)
+		}
+		if !m.faulty() {
+			w.dark = false
+		}
+	}
+	if len(m.accepted) > 0 && m.chance(0.01) {
+		id := fmt.Sprintf("j%d", m.rnd.IntN(m.next))
+		if _, cancelled := m.cancels[id]; !cancelled && m.owner().pool.Cancel(id, m.now) == Pending {
+			m.cancels[id] = m.now.Steady
+		}
+	}
+}
+
+func (m *model) deliver() {
+	var due []message
+	rest := m.inFlight[:0:0]
+	for _, msg := range m.inFlight {
+		if msg.at <= m.now.Steady {
+			due = append(due, msg)
+		} else {
+			rest = append(rest, msg)
+		}
+	}
+	m.inFlight = rest
+	for _, msg := range due {
+		msg.do()
+	}
+}
+
+// advance ends the runs of a worker whose time or lease is over.
+func (m *model) advance(w *modelWorker) {
+	ids := make([]TaskID, 0, len(w.running))
+	for id := range w.running {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareTasks)
+	for _, id := range ids {
+		r := w.running[id]
+		switch {
+		case m.now.Steady > w.expires:
+			m.end(w, r, EndLapsed)
+		case m.now.Steady > r.ends && r.fails:
+			m.end(w, r, EndFailed)
+		case m.now.Steady > r.ends:
+			m.end(w, r, EndDone)
+		}
+	}
+	if m.now.Steady > w.expires {
+		for _, e := range w.ended {
+			e.lapsed = true
+		}
+	}
+}
+
+func (m *model) end(w *modelWorker, r *modelRun, how End) {
+	delete(w.running, r.id)
+	w.highest[r.id] = max(w.highest[r.id], r.run)
+	w.number++
+	r.number, r.how, r.endAt = w.number, how, m.now.Steady
+	w.ended = append(w.ended, r)
+	if how == EndDone {
+		m.done[r.id] = true
+	}
+}
+
+// stepOwner does what the shell does: commits, orders and requests for reports.
+func (m *model) stepOwner(o *modelOwner) {
+	var infos []WorkerInfo
+	for _, w := range m.workers {
+		infos = append(infos, WorkerInfo{ID: w.id, Capacity: w.capacity})
+	}
+	o.pool.Directory(infos, m.now)
+	o.pool.Tick(m.now)
+	for _, order := range o.pool.TakeOrders() {
+		m.sendOrder(o, order)
+	}
+	for _, e := range o.pool.TakeEvents() {
+		if *modelTrace {
+			fmt.Printf("%v epoch %d: %+v\n", m.now.Steady-time.Hour, o.epoch, e)
+		}
+	}
+	m.commit(o)
+	for _, w := range m.workers {
+		if m.now.Steady >= o.nextHold[w.id] {
+			o.nextHold[w.id] = m.now.Steady + 200*time.Millisecond
+			m.hold(o, w)
+		}
+	}
+}
+
+func (m *model) commit(o *modelOwner) {
+	c := o.pool.TakeCommit()
+	if c == nil {
+		return
+	}
+	if o.epoch < m.epoch {
+		o.confirmed = 0 // fenced
+		return
+	}
+	for _, r := range c.Records {
+		if len(r.Value) == 0 {
+			delete(m.store, r.Key)
+			continue
+		}
+		m.store[r.Key] = r.Value
+	}
+	o.pool.Committed(c, m.now)
+}
+
+func (m *model) sendOrder(o *modelOwner, order Order) {
+	w := m.workers[int(order.Worker[1]-'0')]
+	expires := m.now.Steady + modelLease
+	born := w.born
+	m.send(func() {
+		if w.dark || w.born != born {
+			return
+		}
+		result, fenced := m.carryOut(o, w, order, expires)
+		m.send(func() {
+			switch {
+			case fenced:
+				o.confirmed = 0
+			case order.Kind == OrderStart:
+				o.pool.Started(order, result, m.now)
+			case order.Kind == OrderStop:
+				o.pool.Stopped(order, result, m.now)
+			}
+		})
+	})
+}
+
+func (m *model) carryOut(o *modelOwner, w *modelWorker, order Order, expires time.Duration) (result Result, fenced bool) {
+	if o.epoch < w.fence {
+		return 0, true
+	}
+	w.fence = o.epoch
+	if order.Kind == OrderStop {
+		w.highest[order.Task] = max(w.highest[order.Task], order.Run)
+		if r := w.running[order.Task]; r != nil && r.run <= order.Run {
+			m.end(w, r, EndStopped)
+		}
+		return ResultDone, false
+	}
+	if order.Kind != OrderStart {
+		return ResultDone, false
+	}
+	if expires < m.now.Steady {
+		return ResultLate, false
+	}
+	if r := w.running[order.Task]; r != nil && r.run == order.Run {
+		w.expires = max(w.expires, expires)
+		return ResultDone, false
+	}
+	if order.Run <= w.highest[order.Task] || w.running[order.Task] != nil {
+		return ResultOldRun, false
+	}
+	w.expires = max(w.expires, expires)
+	m.begin(w, order)
+	return ResultDone, false
+}
+
+// begin begins a run and checks what must hold for it.
+func (m *model) begin(w *modelWorker, order Order) {
+	id := order.Task
+	spec := m.accepted[id.Job]
+	if spec == nil || m.store[keySpec+id.Job] == nil {
+		m.errorf("%v started, but its job was not accepted", id)
+		return
+	}
+	step := &spec.Steps[id.Step]
+	for _, d := range step.DependsOn {
+		for i := range spec.Steps[d].Count {
+			if !m.done[TaskID{Job: id.Job, Step: d, Index: i}] {
+				m.errorf("%v started before step %d was done", id, d)
+			}
+		}
+	}
+	for _, other := range m.workers {
+		if other.running[id] != nil {
+			m.errorf("%v run %d started at %s while run %d runs at %s", id, order.Run, w.id, other.running[id].run, other.id)
+		}
+	}
+	if m.noted[id] {
+		m.errorf("%v run %d started after its end was noted", id, order.Run)
+	}
+	if len(m.failed[id]) >= spec.Attempts {
+		m.errorf("%v run %d started after %d failed runs", id, order.Run, len(m.failed[id]))
+	}
+	if at, ok := m.cancels[id.Job]; ok && m.now.Steady-at > 8*time.Second {
+		m.errorf("%v started %v after its cancellation", id, m.now.Steady-at)
+	}
+	used, same := step.Request, 1
+	for other, r := range w.running {
+		used = used.Add(r.size)
+		if other.Job == id.Job && other.Step == id.Step {
+			same++
+		}
+	}
+	if !used.Fits(w.capacity) {
+		m.errorf("%v started at %s beyond its capacity", id, w.id)
+	}
+	if step.MaxPerWorker > 0 && same > step.MaxPerWorker {
+		m.errorf("%v: %d tasks of the step on %s", id, same, w.id)
+	}
+	w.running[id] = &modelRun{
+		id: id, run: order.Run, size: step.Request, fails: m.chance(0.1),
+		ends: m.now.Steady + time.Duration(100+m.rnd.IntN(1500))*time.Millisecond,
+	}
+}
+
+func (m *model) hold(o *modelOwner, w *modelWorker) {
+	status, ok := o.pool.Status(w.id)
+	if !ok {
+		return
+	}
+	expires := time.Duration(0)
+	if status.Wanted && m.now.Steady-o.answered[w.id] < 2*time.Second {
+		expires = m.now.Steady + modelLease
+		o.pool.Extended(w.id, m.now)
+	}
+	sent, born := m.now.Steady, w.born
+	statusBorn := status.Born
+	m.send(func() {
+		if w.dark || w.born != born {
+			return
+		}
+		if o.epoch < w.fence {
+			m.send(func() { o.confirmed = 0 })
+			return
+		}
+		w.fence = o.epoch
+		w.expires = max(w.expires, expires)
+		if statusBorn == w.born {
+			m.note(w, status.StableEnd)
+		}
+		rep := w.report(sent)
+		m.send(func() {
+			o.answered[w.id] = m.now.Steady
+			o.pool.Report(rep, m.now)
+		})
+	})
+}
+
+// note forgets the ends up to a number: they are taken note of.
+func (m *model) note(w *modelWorker, upTo int64) {
+	for len(w.ended) > 0 && w.ended[0].number <= upTo {
+		e := w.ended[0]
+		w.ended = w.ended[1:]
+		if e.lapsed {
+			continue
+		}
+		switch e.how {
+		case EndDone:
+			m.noted[e.id] = true
+		case EndFailed:
+			if m.failed[e.id] == nil {
+				m.failed[e.id] = make(map[int]bool)
+			}
+			m.failed[e.id][e.run] = true
+		}
+	}
+}
+
+func (w *modelWorker) report(sent time.Duration) Report {
+	rep := Report{Worker: w.id, Born: w.born, SentAt: sent}
+	for _, r := range w.running {
+		rep.Running = append(rep.Running, RunningTask{Task: r.id, Run: r.run})
+	}
+	slices.SortFunc(rep.Running, func(a, b RunningTask) int { return compareTasks(a.Task, b.Task) })
+	for _, e := range w.ended {
+		rep.Ended = append(rep.Ended, EndedTask{Number: e.number, Task: e.id, Run: e.run, How: e.how})
+	}
+	return rep
+}
+
+// check checks at the end that no accepted job was lost.
+func (m *model) check() {
+	for id, spec := range m.accepted {
+		state, known := m.owner().pool.StateOf(id)
+		if !known {
+			if m.store[keySpec+id] != nil {
+				m.errorf("%s is stored, but not known", id)
+			}
+			continue
+		}
+		switch state {
+		case StateCompleted:
+			for i := range spec.Steps {
+				for k := range spec.Steps[i].Count {
+					if !m.done[TaskID{Job: id, Step: i, Index: k}] {
+						m.errorf("%s is shown as completed, but task %d.%d is not done", id, i, k)
+					}
+				}
+			}
+		case StateCancelled, StateFailed:
+		default:
+			m.errorf("%s is %s at the end", id, state)
+		}
+	}
+}
+
+// open tells whether a job has not ended.
+func (m *model) open() bool {
+	for id := range m.accepted {
+		if state, known := m.owner().pool.StateOf(id); known && (state == StateQueued || state == StateRunning) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) run() []string {
+	for m.now.Steady-time.Hour < modelHorizon && len(m.errs) == 0 && (m.faulty() || m.open()) {
+		m.step()
+	}
+	if len(m.errs) == 0 {
+		m.check()
+	}
+	return m.errs
+}
+
+// TestModel guards against doubled, lost, early, unasked and oversized runs under random faults.
+func TestModel(t *testing.T) {
+	for i := range *modelSchedules {
+		seed := *modelSeed + uint64(i)
+		if errs := newModel(seed).run(); len(errs) > 0 {
+			t.Fatalf("seed %d (replay: go test ./job -run TestModel -model.seed=%d -model.schedules=1):\n%s",
+				seed, seed, strings.Join(errs, "\n"))
+		}
+	}
+}
--- a/job/report.go
+++ b/job/report.go
@@ -60,7 +60,7 @@
 	}
 	if w.born != 0 && rep.Born != w.born {
 		p.event(Event{Kind: "worker reborn", Worker: w.info.ID})
-		p.endRuns(w, "worker reborn", now)
+		p.endLife(w, "worker reborn", now)
 		p.newLife(w, rep.Born)
 	}
 	w.born = rep.Born
@@ -98,8 +98,7 @@
 		if seen[r.task.id] || r.active == 0 || r.active >= rep.SentAt {
 			continue
 		}
-		p.event(Event{Kind: "run lost", Task: r.task.id, Run: r.number, Worker: w.info.ID, Why: "not reported"})
-		p.release(r, now)
+		p.loseRun(r, "not reported", now)
 	}
 }
 
--- a/job/worker.go
+++ b/job/worker.go
@@ -115,16 +115,25 @@
 	if w.looked || len(w.runs) > 0 {
 		p.event(Event{Kind: "worker life over", Worker: id})
 	}
-	p.endRuns(w, "worker gone", now)
+	p.endLife(w, "worker gone", now)
 	p.newLife(w, 0)
 }
 
+// endLife ends the runs that were confirmed before the last report of a worker's life. Orders that were sent since may be
+// carried out in the next life, if it has the same name; the next reports settle them.
+func (p *Pool) endLife(w *worker, why string, now Time) {
+	for _, r := range w.sortedRuns() {
+		if r.active > 0 && r.active <= w.lastLook {
+			p.loseRun(r, why, now)
+		}
+	}
+}
+
 // newLife resets what is known of a worker. Zero means that the next life has not reported yet.
 func (p *Pool) newLife(w *worker, born int64) {
 	w.born = born
 	w.strays = nil
 	w.looked = born != 0
-	w.leaseUntil = 0
 	w.processed, w.stableEnd = 0, 0
 	w.failures = 0
 	w.leaving = false
@@ -133,12 +142,17 @@
 // endRuns ends all runs on a worker without a report.
 func (p *Pool) endRuns(w *worker, why string, now Time) {
 	for _, r := range w.sortedRuns() {
-		p.event(Event{Kind: "run lost", Task: r.task.id, Run: r.number, Worker: w.info.ID, Why: why})
-		if r.saved != "" {
-			r.task.saved = r.saved
-		}
-		p.release(r, now)
+		p.loseRun(r, why, now)
+	}
+}
+
+// loseRun ends a run without a report of its end.
+func (p *Pool) loseRun(r *run, why string, now Time) {
+	p.event(Event{Kind: "run lost", Task: r.task.id, Run: r.number, Worker: r.worker.info.ID, Why: why})
+	if r.saved != "" {
+		r.task.saved = r.saved
 	}
+	p.release(r, now)
 }
 
 func (w *worker) sortedRuns() []*run {
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -199,8 +199,9 @@
 	}
 	l.shard.call(ctx, func(now job.Time) {
 		if errors.Is(err, ErrLifeOver) {
-			l.pool.Gone(l.worker, now)
-			return
+			// The order reached another life, which refused it.
+			result = job.ResultRefused
+			defer l.pool.Gone(l.worker, now)
 		}
 		if err == nil && result != job.ResultNoAnswer {
 			l.answered = now.Steady
