Start nothing in a worker's life that is not registered in the store

Cause (model): an owner that was replaced without knowing it saw a worker reborn, which knows no fencing token then, took its runs for lost and started a task whose end its successor had already noted. A life is now registered with the owner's epoch before anything starts in it, which a replaced owner can not do.

--- a/job/commit.go
+++ b/job/commit.go
@@ -10,6 +10,7 @@
 
 	phases map[string]Phase
 	ends   map[string]lifeEnd
+	lives  map[string]int64 // recorded life of each worker
 }
 
 // Ends tells whether the commit contains the end of a job.
@@ -26,7 +27,7 @@
 	if p.committing || !p.Dirty() {
 		return nil
 	}
-	c := &Commit{phases: make(map[string]Phase), ends: make(map[string]lifeEnd)}
+	c := &Commit{phases: make(map[string]Phase), ends: make(map[string]lifeEnd), lives: make(map[string]int64)}
 	ids := make([]string, 0, len(p.dirty))
 	for id := range p.dirty {
 		ids = append(ids, id)
@@ -39,6 +40,7 @@
 		c.Records = append(c.Records, r)
 	}
 	for id, w := range p.workers {
+		c.lives[id] = w.recorded
 		if w.processed > w.stableEnd {
 			c.ends[id] = lifeEnd{born: w.born, number: w.processed}
 		}
@@ -124,6 +126,11 @@
 			p.stopAll(j, now)
 		}
 	}
+	for id, born := range c.lives {
+		if w := p.workers[id]; w != nil {
+			w.registered = born
+		}
+	}
 	for id, end := range c.ends {
 		if w := p.workers[id]; w != nil && w.born == end.born {
 			w.stableEnd = max(w.stableEnd, end.number)
--- a/job/pool.go
+++ b/job/pool.go
@@ -135,7 +135,7 @@
 	for _, info := range l.Workers[p.cfg.Pool] {
 		w := p.addWorker(info, now)
 		w.listed = false
-		w.stored = true
+		w.restored = true
 	}
 }
 
--- a/job/record.go
+++ b/job/record.go
@@ -61,6 +61,7 @@
 type workerRecord struct {
 	Pool string     `cbor:"1,keyasint"`
 	Info WorkerInfo `cbor:"2,keyasint"`
+	Born int64      `cbor:"3,keyasint,omitempty"`
 }
 
 func encode(v any) []byte {
--- a/job/report.go
+++ b/job/report.go
@@ -68,6 +68,7 @@
 		p.event(Event{Kind: "worker adopted", Worker: w.info.ID, Count: len(rep.Running)})
 	}
 	w.looked = true
+	p.register(w)
 	w.lastLook = max(w.lastLook, rep.SentAt)
 	w.leaving = w.leaving || rep.Leaving
 	for _, e := range rep.Ended {
--- a/job/worker.go
+++ b/job/worker.go
@@ -19,12 +19,16 @@
 
 // worker is the owner's view of one life of a worker.
 type worker struct {
-	info     WorkerInfo
-	listed   bool // in the directory
-	stored   bool // recorded in the store
-	born     int64
-	looked   bool          // a report was received by this owner
-	lastLook time.Duration // time at which the latest answered look was sent
+	info   WorkerInfo
+	listed bool // in the directory
+	born   int64
+	// recorded is the life for which a record is in the next commit or stored, registered the one that is stored. A worker
+	// knows no fencing token at the begin of its life, so an owner that was replaced without knowing it could start tasks
+	// there. It can't store a record any more, so nothing starts in a life that is not registered.
+	recorded, registered int64
+	restored             bool          // an earlier owner recorded the worker
+	looked               bool          // a report was received by this owner
+	lastLook             time.Duration // time at which the latest answered look was sent
 	// leaseUntil is when everything that runs there has certainly ended, unless the lease is extended.
 	leaseUntil time.Duration
 	runs       map[TaskID]*run
@@ -68,7 +72,6 @@
 		}
 		w.info = info
 		w.listed = true
-		p.storeWorker(w)
 	}
 	for id, w := range p.workers {
 		if !seen[id] && w.listed {
@@ -78,21 +81,21 @@
 	}
 }
 
-// storeWorker records that the owner uses a worker, so that a later owner looks at it even if it is not listed then.
-func (p *Pool) storeWorker(w *worker) {
-	if w.stored {
+// register records a life of a worker. A later owner looks at the worker even if it is not listed then.
+func (p *Pool) register(w *worker) {
+	if w.recorded == w.born {
 		return
 	}
-	w.stored = true
+	w.recorded = w.born
 	key := keyWorker + w.info.ID
-	p.workerRecords[key] = Record{Key: key, Value: encode(workerRecord{Pool: p.cfg.Pool, Info: w.info})}
+	p.workerRecords[key] = Record{Key: key, Value: encode(workerRecord{Pool: p.cfg.Pool, Info: w.info, Born: w.born})}
 }
 
 // dropWorker forgets a worker on which nothing can run any more.
 func (p *Pool) dropWorker(w *worker, now Time) {
 	p.endRuns(w, "worker gone", now)
 	delete(p.workers, w.info.ID)
-	if w.stored {
+	if w.recorded != 0 || w.restored {
 		key := keyWorker + w.info.ID
 		p.workerRecords[key] = Record{Key: key}
 	}
@@ -132,6 +135,7 @@
 // newLife resets what is known of a worker. Zero means that the next life has not reported yet.
 func (p *Pool) newLife(w *worker, born int64) {
 	w.born = born
+	w.registered = 0
 	w.strays = nil
 	w.looked = born != 0
 	w.processed, w.stableEnd = 0, 0
@@ -231,7 +235,7 @@
 
 // usable tells whether a worker may get a start.
 func (w *worker) usable(now Time) bool {
-	return w.listed && w.looked && len(w.strays) == 0 && !w.info.Draining && !w.leaving && !w.evacuating &&
+	return w.listed && w.looked && w.registered == w.born && len(w.strays) == 0 && !w.info.Draining && !w.leaving && !w.evacuating &&
 		now.Steady >= w.distrusted && now.Steady-w.lastLook < answerWithin
 }
 
