--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// world is a fleet whose orders take effect at once.
+type world struct {
+	t        *testing.T
+	c        *Controller
+	now      time.Duration
+	machines []Machine
+	loads    map[string]Load
+	waves    []Wave
+	evacuate map[string][]string
+	lives    int
+}
+
+func newWorld(t *testing.T, sizes map[string]int) *world {
+	w := &world{t: t, c: New(0), now: time.Hour, loads: make(map[string]Load)}
+	pools := []string{"a", "b", "spare"}
+	for _, pool := range pools {
+		for i := range sizes[pool] {
+			host := fmt.Sprintf("%s%d", pool, i)
+			w.machines = append(w.machines, Machine{Host: host, Pool: pool, State: Up, Worker: "w-" + host})
+		}
+	}
+	return w
+}
+
+// load sets the use of a pool. Each of its machines runs a task while the pool is used.
+func (w *world) load(pool string, used, waiting float64) {
+	w.loads[pool] = Load{Used: used, Waiting: waiting}
+}
+
+func (w *world) observation() Observation {
+	loads := make(map[string]Load)
+	for pool, l := range w.loads {
+		left := l.Used
+		for _, m := range w.machines {
+			if m.Pool != pool || m.State != Up {
+				continue
+			}
+			wl := WorkerLoad{Worker: m.Worker}
+			evacuated := slices.Contains(w.evacuate[pool], m.Worker)
+			if left > 0 && !evacuated {
+				wl.Runs = 1
+				left--
+			}
+			wl.Empty = evacuated
+			l.Workers = append(l.Workers, wl)
+		}
+		loads[pool] = l
+	}
+	return Observation{
+		Machines: slices.Clone(w.machines), Loads: loads, Waves: w.waves,
+		Pools: []Pool{{Name: "a"}, {Name: "b"}, {Name: "spare", Standby: true}},
+	}
+}
+
+// round makes one round and lets its orders take effect. It returns the plan.
+func (w *world) round() Plan {
+	w.now += 200 * time.Millisecond
+	w.c.Observe(w.observation(), w.now)
+	plan := w.c.Plan(w.now)
+	w.evacuate = plan.Evacuate
+	for _, o := range plan.Orders {
+		for i := range w.machines {
+			m := &w.machines[i]
+			if m.Host != o.Host {
+				continue
+			}
+			if o.Kind == OrderMove {
+				m.Pool = o.Pool
+			}
+			w.lives++
+			m.Worker = fmt.Sprintf("life%d", w.lives)
+		}
+		w.c.Result(o, Done, w.now)
+	}
+	return plan
+}
+
+func (w *world) size(pool string) int {
+	n := 0
+	for _, m := range w.machines {
+		if m.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPeakTakesMachines guards against a pool that stays short of room at the peak of its load while others are idle.
+func TestPeakTakesMachines(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 10, "b": 10, "spare": 6})
+	w.load("a", 10, 12)
+	w.load("b", 1, 0)
+	for range 40 {
+		w.round()
+	}
+	if got := w.size("a"); got < 18 {
+		t.Fatalf("pool a has %d machines at its peak, want at least 18", got)
+	}
+	if got := w.size("b"); got < minPool {
+		t.Fatalf("pool b has %d machines, less than %d", got, minPool)
+	}
+}
+
+// TestIdleMachinesGoOnStandby guards against paying for machines that run nothing.
+func TestIdleMachinesGoOnStandby(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 10, "b": 10, "spare": 0})
+	w.load("a", 0, 0)
+	w.load("b", 0, 0)
+	for range 60 {
+		w.round()
+	}
+	if got := w.size("spare"); got < 10 {
+		t.Fatalf("%d machines on standby, want at least 10", got)
+	}
+}
+
+// TestMachinesOfUnknownPoolsStay guards against taking machines from a pool whose owner does not answer.
+func TestMachinesOfUnknownPoolsStay(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 4, "b": 10, "spare": 0})
+	w.load("a", 4, 20)
+	for range 30 {
+		w.round()
+	}
+	if got := w.size("b"); got != 10 {
+		t.Fatalf("pool b has %d machines, want 10", got)
+	}
+}
+
+// TestWaveKeepsItsCap guards against more machines in maintenance at once than the wave permits, and against a wave that is
+// said to be completed before each machine had its turn.
+func TestWaveKeepsItsCap(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 8, "b": 4, "spare": 2})
+	w.load("a", 2, 0)
+	w.load("b", 1, 0)
+	hosts := []string{"a0", "a1", "a2", "b0", "spare0"}
+	w.waves = []Wave{{Number: 3, Hosts: hosts, Deadline: 10 * time.Second, Cap: 2}}
+	done := make(map[string]bool)
+	completed := false
+	for range 100 {
+		plan := w.round()
+		for _, o := range plan.Orders {
+			if o.Kind == OrderMaintenance {
+				done[o.Host] = true
+			}
+		}
+		if n := w.c.down(3); n > 2 {
+			t.Fatalf("%d machines are down", n)
+		}
+		if c, ok := plan.Status[3]; ok && c {
+			completed = true
+			if len(done) != len(hosts) {
+				t.Fatalf("completed after %d of %d machines", len(done), len(hosts))
+			}
+		}
+	}
+	if !completed {
+		t.Fatalf("not completed; done %v", done)
+	}
+}
+
+// TestNewControllerWaits guards against two controllers that order the same machine in turns.
+func TestNewControllerWaits(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 4, "spare": 6})
+	w.c = New(w.now + 2*time.Second)
+	w.load("a", 4, 20)
+	for range 9 {
+		if plan := w.round(); len(plan.Orders) > 0 {
+			t.Fatalf("orders %+v before the begin", plan.Orders)
+		}
+	}
+	orders := 0
+	for range 9 {
+		orders += len(w.round().Orders)
+	}
+	if orders == 0 {
+		t.Fatal("no orders after the begin")
+	}
+}
+
+// TestUnansweredOrderIsRepeated guards against a machine that stays evacuated for ever after a lost answer.
+func TestUnansweredOrderIsRepeated(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 4, "b": 4, "spare": 1})
+	w.load("a", 4, 20)
+	w.load("b", 4, 0)
+	w.c.Observe(w.observation(), w.now)
+	first := w.c.Plan(w.now).Orders
+	if len(first) != 1 {
+		t.Fatalf("%d orders, want the one for the machine on standby", len(first))
+	}
+	w.c.Result(first[0], Unanswered, w.now)
+	w.now += orderTimeout + time.Millisecond
+	w.c.Observe(w.observation(), w.now)
+	if again := w.c.Plan(w.now).Orders; len(again) != 1 || again[0] != first[0] {
+		t.Fatalf("orders %+v, want %+v again", again, first)
+	}
+}
--- /dev/null
+++ b/jobmanager/log_test.go
@@ -0,0 +1,43 @@
+package jobmanager
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+)
+
+// blockedWriter blocks until it is released, like a pipe that nobody reads.
+type blockedWriter struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return w.Buffer.Write(p)
+}
+
+// TestLogNeverBlocks guards against decisions that wait for a standard output which nobody reads.
+func TestLogNeverBlocks(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	log := NewLog(w, "n")
+	written := make(chan struct{})
+	go func() {
+		for range logRing * 2 {
+			log.Event(LogEvent{Part: "test", What: "line"})
+		}
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(time.Minute):
+		t.Fatal("the log blocks")
+	}
+	close(w.release)
+	log.Event(LogEvent{Part: "test", What: "later"})
+	log.Close()
+	if out := w.String(); !strings.Contains(out, "lines dropped") {
+		t.Error("dropped lines are not reported")
+	}
+}
