--- a/command/command.go
+++ b/command/command.go
@@ -58,7 +58,7 @@
 		},
 		Commands: []*cli.Command{
 			r.apply(), r.get(), r.describe(), r.diff(), r.delete(), r.watch(), r.drain(), r.move(), r.pause(),
-			r.resume(), r.plan(), r.explain(), r.nodes(), r.change(), r.completion(),
+			r.resume(), r.plan(), r.explain(), r.nodes(), r.change(), r.trace(), r.completion(),
 		},
 	}
 	for _, c := range app.Commands {
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -17,7 +18,6 @@
 type LogEvent struct {
 	Part   string // prefix
 	What   string
-	Node   string
 	Job    string
 	Queue  string
 	Pool   string
@@ -29,6 +29,8 @@
 	Why    string
 	AgeMs  int64
 	Count  int
+
+	at time.Time
 }
 
 // Log writes structured lines from its own goroutine.
@@ -44,13 +46,14 @@
 func NewLog(out io.Writer, node string) *Log {
 	l := &Log{logger: logrus.New(), ring: make(chan LogEvent, logRing), node: node}
 	l.logger.SetOutput(out)
-	l.logger.SetFormatter(&logrus.JSONFormatter{})
+	l.logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	l.wg.Go(l.write)
 	return l
 }
 
 // Event queues a line. It never blocks.
 func (l *Log) Event(e LogEvent) {
+	e.at = time.Now()
 	select {
 	case l.ring <- e:
 	default:
@@ -69,7 +72,7 @@
 		if n := l.dropped.Swap(0); n > 0 {
 			l.logger.WithFields(logrus.Fields{"node": l.node, "count": n}).Warn("log: lines dropped")
 		}
-		l.logger.WithFields(l.fields(e)).Info(e.Part + ": " + e.What)
+		l.logger.WithTime(e.at).WithFields(l.fields(e)).Info(e.Part + ": " + e.What)
 	}
 }
 
