--- /dev/null
+++ b/job/advice.go
@@ -0,0 +1,135 @@
+package job
+
+import "time"
+
+const (
+	// adviceWorkers bounds the workers in one request for advice. The service takes time for each.
+	adviceWorkers = 30
+	// adviceRetry is the pause after a request that brought no usable ticket.
+	adviceRetry = 400 * time.Millisecond
+	// ticketReserve is how long a ticket must still be valid for a start.
+	ticketReserve = 300 * time.Millisecond
+)
+
+// StepID names a step of an occurrence of a job.
+type StepID struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// String returns the form JOB.OCCURRENCE.STEP.
+func (s StepID) String() string {
+	full := TaskID{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step}.String()
+	return full[:len(full)-len(".0")]
+}
+
+// Ticket permits a worker to run the tasks of a step.
+type Ticket struct {
+	Worker string
+	Value  string
+}
+
+// AdviceRequest asks which of the workers may run a step.
+type AdviceRequest struct {
+	Step    StepID
+	Workers []string
+}
+
+// advice is what the owner knows about the workers for a step.
+type advice struct {
+	tickets map[string]string // by worker
+	until   time.Duration     // of the tickets
+	asked   map[string]bool   // workers that were named without getting a ticket
+	pending bool
+	retry   time.Duration
+}
+
+func stepOf(t *task) StepID {
+	return StepID{Job: t.id.Job, Occurrence: t.id.Occurrence, Step: t.id.Step}
+}
+
+// ticket returns the valid ticket of a worker for a task, or "".
+func (p *Pool) ticket(t *task, w *worker, now Time) string {
+	a := p.advice[stepOf(t)]
+	if a == nil || now.Steady+ticketReserve > a.until {
+		return ""
+	}
+	return a.tickets[w.info.ID]
+}
+
+// seekAdvice asks for tickets of a step when there are none that are valid. It names workers that were not asked about yet.
+func (p *Pool) seekAdvice(t *task, pass *pass, now Time) {
+	key := stepOf(t)
+	a := p.advice[key]
+	if a == nil {
+		a = &advice{asked: make(map[string]bool)}
+		p.advice[key] = a
+	}
+	valid := len(a.tickets) > 0 && now.Steady+ticketReserve <= a.until
+	if valid || a.pending || now.Steady < a.retry {
+		return
+	}
+	r := AdviceRequest{Step: key}
+	for _, w := range pass.usable {
+		_, known := a.tickets[w.info.ID]
+		if len(r.Workers) < adviceWorkers && (known || !a.asked[w.info.ID]) && permits(t.step, t, w) {
+			r.Workers = append(r.Workers, w.info.ID)
+		}
+	}
+	if len(r.Workers) == 0 {
+		clear(a.asked)
+		a.retry = now.Steady + adviceRetry
+		return
+	}
+	a.pending = true
+	p.adviceRequests = append(p.adviceRequests, r)
+}
+
+// TakeAdviceRequests returns the requests for advice to send.
+func (p *Pool) TakeAdviceRequests() []AdviceRequest {
+	r := p.adviceRequests
+	p.adviceRequests = nil
+	return r
+}
+
+// Advised applies the answer to a request for advice. A request without an answer has no tickets.
+func (p *Pool) Advised(r AdviceRequest, tickets []Ticket, valid time.Duration, asked time.Duration, now Time) {
+	a := p.advice[r.Step]
+	if a == nil {
+		return
+	}
+	a.pending = false
+	if len(tickets) == 0 {
+		a.retry = now.Steady + adviceRetry
+	}
+	if valid > 0 {
+		for _, id := range r.Workers {
+			a.asked[id] = true
+		}
+	}
+	a.tickets = make(map[string]string, len(tickets))
+	for _, t := range tickets {
+		a.tickets[t.Worker] = t.Value
+	}
+	// The time counts from the request, since the answer may have waited.
+	a.until = asked + valid
+	p.event(Event{Kind: "advice received", Job: r.Step.Job, Count: len(tickets), AgeMs: (now.Steady - asked).Milliseconds()})
+}
+
+// dropTicket forgets a ticket that a worker refused.
+func (p *Pool) dropTicket(t *task, w *worker) {
+	if a := p.advice[stepOf(t)]; a != nil {
+		delete(a.tickets, w.info.ID)
+		delete(a.asked, w.info.ID)
+	}
+}
+
+// dropAdvice forgets the advice for a job that has ended.
+func (p *Pool) dropAdvice(j *jobState) {
+	for key := range p.advice {
+		if key.Job == j.spec.ID {
+			delete(p.advice, key)
+		}
+	}
+}
--- /dev/null
+++ b/job/advice_test.go
@@ -0,0 +1,35 @@
+package job
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAdvisedStepNeedsTicket guards against starts without a valid ticket, which workers reject, and against tasks that wait
+// for ever after a refused ticket.
+func TestAdvisedStepNeedsTicket(t *testing.T) {
+	p := newTestPool(t, "a", "b")
+	s := oneStep("x", 1, 1000)
+	s.Advised = true
+	p.submit(s)
+	if o := starts(p.tick()); len(o) != 0 {
+		t.Fatalf("started %+v without a ticket", o)
+	}
+	requests := p.TakeAdviceRequests()
+	if len(requests) != 1 || requests[0].Step.String() != "x.0.0" || len(requests[0].Workers) != 2 {
+		t.Fatalf("requests %+v", requests)
+	}
+	p.Advised(requests[0], []Ticket{{Worker: "b", Value: "pass"}}, 3*time.Second, p.now.Steady, p.now)
+	o := starts(p.tick())
+	if len(o) != 1 || o[0].Worker != "b" || o[0].Ticket != "pass" {
+		t.Fatalf("orders %+v, want a start on b with its ticket", o)
+	}
+	p.Started(o[0], ResultTicket, p.now)
+	p.advance(adviceRetry)
+	p.report("a")
+	p.report("b")
+	p.tick()
+	if requests = p.TakeAdviceRequests(); len(requests) != 1 {
+		t.Fatalf("requests %+v after a refused ticket, want one", requests)
+	}
+}
--- a/job/order.go
+++ b/job/order.go
@@ -78,10 +78,10 @@
 	p.event(Event{
 		Kind: "run ordered", Task: t.id, Run: number, Worker: w.info.ID, AgeMs: (now.Steady - t.readyAt).Milliseconds(),
 	})
-	p.sendStart(r)
+	p.sendStart(r, now)
 }
 
-func (p *Pool) sendStart(r *run) {
+func (p *Pool) sendStart(r *run, now Time) {
 	t := r.task
 	saved := ""
 	if t.step.Checkpointable {
@@ -89,6 +89,7 @@
 	}
 	p.order(Order{
 		Kind: OrderStart, Worker: r.worker.info.ID, Task: t.id, Run: r.number, Payload: t.job.spec.Payload, Saved: saved,
+		Ticket: p.ticket(t, r.worker, now),
 	})
 }
 
@@ -132,7 +133,11 @@
 		r.state = runActive
 		r.active = now.Steady
 	case ResultRefused, ResultNoRoom, ResultLate, ResultTicket:
-		w.distrusted = max(w.distrusted, now.Steady+refusedPause)
+		if result == ResultTicket {
+			p.dropTicket(r.task, w)
+		} else {
+			w.distrusted = max(w.distrusted, now.Steady+refusedPause)
+		}
 		if r.tries > 1 {
 			// An earlier try without an answer may still be carried out, unless a stop comes before it.
 			p.stop(r, now)
@@ -180,5 +185,5 @@
 		p.sendStop(r)
 		return
 	}
-	p.sendStart(r)
+	p.sendStart(r, now)
 }
--- a/job/place.go
+++ b/job/place.go
@@ -41,6 +41,9 @@
 			continue
 		}
 		fits = true
+		if t.job.spec.Advised && ps.pool.ticket(t, w, now) == "" {
+			continue
+		}
 		if !permits(s, t, w) || (waitForRack && w.info.Rack != s.DataRack) {
 			continue
 		}
@@ -157,25 +160,25 @@
 
 // placeGang chooses workers for all tasks of a gang, on one rack if the step asks for it and a rack has room. It returns
 // nil when there is no room for all.
-func (ps *pass) placeGang(tasks []*task, _ Time) []*worker {
+func (ps *pass) placeGang(tasks []*task, now Time) []*worker {
 	if tasks[0].step.SameRack {
 		for rack := range ps.racks {
-			if chosen := ps.placeAll(tasks, rack); chosen != nil {
+			if chosen := ps.placeAll(tasks, rack, now); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return ps.placeAll(tasks, "")
+	return ps.placeAll(tasks, "", now)
 }
 
 // placeAll places tasks first-fit on the workers of a rack, or on all workers for "".
-func (ps *pass) placeAll(tasks []*task, rack string) []*worker {
+func (ps *pass) placeAll(tasks []*task, rack string, now Time) []*worker {
 	chosen := make([]*worker, 0, len(tasks))
 	taken := make(map[*worker]Resources)
 	counts := make(map[*worker]int)
 	step := tasks[0].step
 	for _, t := range tasks {
-		w := ps.firstFit(t, rack, taken, counts)
+		w := ps.firstFit(t, rack, taken, counts, now)
 		if w == nil {
 			return nil
 		}
@@ -186,12 +189,17 @@
 	return chosen
 }
 
-func (ps *pass) firstFit(t *task, rack string, taken map[*worker]Resources, counts map[*worker]int) *worker {
+func (ps *pass) firstFit(
+	t *task, rack string, taken map[*worker]Resources, counts map[*worker]int, now Time,
+) *worker {
 	s := t.step
 	for _, w := range ps.usable {
 		if rack != "" && w.info.Rack != rack {
 			continue
 		}
+		if t.job.spec.Advised && ps.pool.ticket(t, w, now) == "" {
+			continue
+		}
 		if s.MaxPerWorker > 0 && counts[w] >= s.MaxPerWorker {
 			continue
 		}
--- a/job/pool.go
+++ b/job/pool.go
@@ -33,14 +33,16 @@
 	orders  []Order
 	dirty   map[string]*jobState
 	// workerRecords holds changes of the stored set of workers.
-	workerRecords map[string]Record
-	upkeepAt      time.Duration // time of the last upkeep
-	committing    bool
-	endsPending   bool // ends of tasks of unknown jobs wait for being forgotten
-	begin         Time
-	estimates     estimates
-	backlog       backlog
-	events        []Event
+	workerRecords  map[string]Record
+	upkeepAt       time.Duration // time of the last upkeep
+	committing     bool
+	endsPending    bool // ends of tasks of unknown jobs wait for being forgotten
+	begin          Time
+	estimates      estimates
+	advice         map[StepID]*advice
+	adviceRequests []AdviceRequest
+	backlog        backlog
+	events         []Event
 }
 
 // runState is what the owner knows of a run.
@@ -121,6 +123,7 @@
 		workerRecords: make(map[string]Record),
 		begin:         now,
 		estimates:     newEstimates(),
+		advice:        make(map[StepID]*advice),
 	}
 }
 
@@ -257,6 +260,9 @@
 func (p *Pool) finish(j *jobState, phase Phase, now Time) {
 	j.phase = phase
 	j.endMs = now.WallMs
+	if j.spec.Advised {
+		p.dropAdvice(j)
+	}
 	j.dirtySpec = true
 	j.dirtyProgress = true
 	p.dirty[j.spec.ID] = j
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -173,6 +173,9 @@
 		if w.occurrence.open[i] == 0 || !w.occurrence.ready(step) {
 			continue
 		}
+		if w.job.spec.Advised {
+			p.seekAdvice(tasks[0], pass, now)
+		}
 		if step.Gang {
 			p.startGang(tasks, pass, blocked, now)
 			continue
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -122,6 +122,7 @@
 	return jobmanager.Platform{
 		Store: store, Group: store, Directory: directory, Operators: platform.NewOperatorSource(store),
 		Workers: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines, store),
+		Advisor: platform.NewAdvisor(client, s.Advice),
 	}
 }
 
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -145,6 +145,12 @@
 	Send(ctx context.Context, t Target, o job.Order, expiresMs int64) (job.Result, error)
 }
 
+// Advisor says which workers may run a step.
+type Advisor interface {
+	// Advise returns tickets for those of the workers that may run the step, and how long they are valid.
+	Advise(ctx context.Context, r job.AdviceRequest) (tickets []job.Ticket, valid time.Duration, err error)
+}
+
 // Clock tells the time on two clocks.
 type Clock interface {
 	Now() job.Time
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -43,6 +43,7 @@
 	Operators OperatorSource
 	Workers   Workers
 	Machines  Machines
+	Advisor   Advisor
 }
 
 // Node is a process of the job manager.
@@ -54,6 +55,7 @@
 	source    Directory
 	operators OperatorSource
 	machines  Machines
+	advisor   Advisor
 	workers   Workers
 	peers     *peer.Net
 	log       *Log
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -24,6 +24,8 @@
 	commitEvery = 25 * time.Millisecond
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 1200 * time.Millisecond
+	// adviceTimeout bounds a request for advice, which waits in turn behind others of this node.
+	adviceTimeout = 4 * time.Second
 	// storePause is the pause before a failed call to the store is repeated.
 	storePause = 60 * time.Millisecond
 	// commitStale is the age of an unfinished commit from which new jobs are refused: the store does not answer.
@@ -210,11 +212,26 @@
 				l.send(s.ctx, o, now)
 			}
 		}
+		for _, r := range p.TakeAdviceRequests() {
+			s.node.wg.Go(func() { s.advise(p, r) })
+		}
 		s.logEvents(name, p)
 	}
 	s.commit(now)
 }
 
+// advise asks for advice on a step.
+func (s *shard) advise(p *job.Pool, r job.AdviceRequest) {
+	asked := s.node.clock.Now().Steady
+	ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
+	defer cancel()
+	tickets, valid, err := s.node.advisor.Advise(ctx, r)
+	if err != nil {
+		s.node.log.Event(LogEvent{Part: "advice", What: "no answer", Job: r.Step.Job, Why: err.Error(), Count: len(r.Workers)})
+	}
+	s.call(s.ctx, func(now job.Time) { p.Advised(r, tickets, valid, asked, now) })
+}
+
 // syncPools creates the pools that are configured or have stored jobs, and passes them the directory.
 func (s *shard) syncPools(now job.Time) {
 	for _, name := range s.node.poolsOf(s.number) {
