--- a/job/report.go
+++ b/job/report.go
@@ -60,7 +60,7 @@
 	}
 	if w.born != 0 && rep.Born != w.born {
 		p.event(Event{Kind: "worker reborn", Worker: w.info.ID})
-		p.endLife(w, "worker reborn", now)
+		p.endLife(w, "worker reborn", w.lastLook, now)
 		p.newLife(w, rep.Born)
 	}
 	w.born = rep.Born
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -12,12 +12,17 @@
 
 const (
 	precedenceLasting precedence = iota
+	// precedenceStarving is of overdue jobs that waited for long, so that each accepted job ends.
+	precedenceStarving
 	precedenceOnTime
 	precedenceLate
 	// precedenceOverdue is of jobs whose result is of no use to the caller any more. They are done nevertheless.
 	precedenceOverdue
 )
 
+// starvation is how long an overdue job may stay behind all others.
+const starvation = 10 * time.Second
+
 // waiting is an occurrence with tasks to start.
 type waiting struct {
 	job        *jobState
@@ -136,6 +141,8 @@
 	w.remaining = p.remaining(j, o)
 	w.latest = begin + j.spec.objective() - w.remaining
 	switch {
+	case now.Steady > begin+lateFactor*j.spec.objective()+starvation:
+		w.precedence = precedenceStarving
 	case now.Steady > begin+lateFactor*j.spec.objective()-w.remaining:
 		w.precedence = precedenceOverdue
 	case now.Steady > w.latest:
--- a/job/worker.go
+++ b/job/worker.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// Gone records proof that a worker's life is over: nothing that it ran continues.
+// Gone records proof that nothing runs at a worker's address now: each run that was confirmed is over. A start without an
+// answer may still be carried out in a next life of the same name.
 func (p *Pool) Gone(id string, now Time) {
 	w := p.workers[id]
 	if w == nil {
@@ -118,15 +119,15 @@
 	if w.looked || len(w.runs) > 0 {
 		p.event(Event{Kind: "worker life over", Worker: id})
 	}
-	p.endLife(w, "worker gone", now)
+	p.endLife(w, "worker gone", now.Steady, now)
 	p.newLife(w, 0)
 }
 
-// endLife ends the runs that were confirmed before the last report of a worker's life. Orders that were sent since may be
-// carried out in the next life, if it has the same name; the next reports settle them.
-func (p *Pool) endLife(w *worker, why string, now Time) {
+// endLife ends the runs that were confirmed up to a moment. Later orders may have reached the next life, if it has the same
+// name; the next reports settle them.
+func (p *Pool) endLife(w *worker, why string, upTo time.Duration, now Time) {
 	for _, r := range w.sortedRuns() {
-		if r.active > 0 && r.active <= w.lastLook {
+		if r.active > 0 && r.active <= upTo {
 			p.loseRun(r, why, now)
 		}
 	}
