--- a/job/worker.go
+++ b/job/worker.go
@@ -121,6 +121,9 @@
 	}
 	p.endLife(w, "worker gone", now.Steady, now)
 	p.newLife(w, 0)
+	if len(w.runs) == 0 {
+		w.leaseUntil = now.Steady
+	}
 }
 
 // endLife ends the runs that were confirmed up to a moment. Later orders may have reached the next life, if it has the same
