--- a/job/report.go
+++ b/job/report.go
@@ -177,9 +177,26 @@
 		}
 		p.setDone(m)
 	}
+	p.stepDone(t, now)
 	p.finishDone(t.job, now)
 }
 
+// stepDone notes since when the steps are ready that waited for a step which is done.
+func (p *Pool) stepDone(t *task, now Time) {
+	o := t.job.occurrences[t.id.Occurrence]
+	if o.open[t.id.Step] > 0 {
+		return
+	}
+	for i := range o.steps {
+		if !slices.Contains(t.job.spec.Steps[i].DependsOn, t.id.Step) {
+			continue
+		}
+		for _, next := range o.steps[i] {
+			next.readyAt = now.Steady
+		}
+	}
+}
+
 // runFailed counts a failed run of a task and fails the job after the last attempt. Workers list an end until it is stored,
 // and after a takeover ends arrive in any order, so the runs are counted by their numbers.
 func (p *Pool) runFailed(t *task, number int, w *worker, now Time) {
