--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	State  State
 	Zone   string
 	Rack   string
+	Labels []string
 	Worker string // the worker that it is now
 }
 
@@ -42,10 +43,18 @@
 	Used    float64      `cbor:"1,keyasint,omitempty"` // taken by running tasks
 	Waiting float64      `cbor:"2,keyasint,omitempty"` // needed by tasks that could start now
 	Workers []WorkerLoad `cbor:"3,keyasint,omitempty"`
+	// Labelled is the part of Waiting that needs workers with a label.
+	Labelled []LabelNeed `cbor:"5,keyasint,omitempty"`
 	// Least is how many machines the pool needs for tasks that may not share a worker.
 	Least int `cbor:"4,keyasint,omitempty"`
 }
 
+// LabelNeed is what tasks need that may only run on workers with a label, in machines.
+type LabelNeed struct {
+	Label   string  `cbor:"1,keyasint"`
+	Waiting float64 `cbor:"2,keyasint"`
+}
+
 // Pool is a pool as configured.
 type Pool struct {
 	Name    string
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -203,3 +203,23 @@
 		t.Fatalf("orders %+v, want %+v again", again, first)
 	}
 }
+
+// TestLabelledWorkTakesItsMachines guards against tasks that wait for ever because all machines with their label have moved
+// to other pools.
+func TestLabelledWorkTakesItsMachines(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 10, "b": 6, "spare": 3})
+	w.machines[len(w.machines)-1].Labels = []string{"fast"}
+	w.load("a", 2, 0)
+	w.load("b", 1, 0.5)
+	l := w.loads["b"]
+	l.Labelled = []LabelNeed{{Label: "fast", Waiting: 0.5}}
+	w.loads["b"] = l
+	for range 5 {
+		w.round()
+	}
+	for _, m := range w.machines {
+		if slices.Contains(m.Labels, "fast") && m.Pool != "b" {
+			t.Fatalf("the machine with the label is in pool %s", m.Pool)
+		}
+	}
+}
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -47,6 +47,7 @@
 	slices.SortFunc(lacking, func(a, b *Balance) int {
 		return cmp.Or(cmp.Compare(b.Need-b.Size, a.Need-a.Size), cmp.Compare(a.Pool, b.Pool))
 	})
+	c.fillLabels(balances, now)
 	for _, b := range lacking {
 		c.fill(b, balances, now)
 	}
@@ -80,7 +81,9 @@
 }
 
 // part returns a part of all machines, rounded up.
-func (c *Controller) part(share float64) int { return int(math.Ceil(share * float64(len(c.seen.Machines)))) }
+func (c *Controller) part(share float64) int {
+	return int(math.Ceil(share * float64(len(c.seen.Machines))))
+}
 
 // forecast returns the machines that a pool will need when a machine that moves now arrives there.
 //
@@ -142,6 +145,42 @@
 	}
 }
 
+// fillLabels moves machines to pools whose waiting tasks need a label. Other machines are of no use to such tasks, however
+// large the pool is.
+func (c *Controller) fillLabels(balances map[string]*Balance, now time.Duration) {
+	for _, pool := range slices.Sorted(maps.Keys(balances)) {
+		for _, need := range c.seen.Loads[pool].Labelled {
+			c.fillLabel(balances[pool], need, balances, now)
+		}
+	}
+}
+
+func (c *Controller) fillLabel(b *Balance, need LabelNeed, balances map[string]*Balance, now time.Duration) {
+	missing := int(math.Ceil(need.Waiting / targetUse))
+	for host, op := range c.ops {
+		if op.order.Kind == OrderMove && op.order.Pool == b.Pool && slices.Contains(c.machines[host].Labels, need.Label) {
+			missing--
+		}
+	}
+	for _, m := range c.spare(balances, now) {
+		if missing <= 0 {
+			return
+		}
+		if !slices.Contains(m.Labels, need.Label) || m.Pool == b.Pool || c.mismatch[route{m.Pool, b.Pool}] {
+			continue
+		}
+		if donor := balances[m.Pool]; donor != nil {
+			if donor.Size <= donor.Need {
+				continue
+			}
+			donor.Size--
+		}
+		b.Size++
+		missing--
+		c.move(m, b.Pool, now)
+	}
+}
+
 // spare returns the machines that can be given away, the best first: those on standby, then those that run least. Tasks
 // that run are left to end before a machine moves; machines with lasting tasks stay.
 func (c *Controller) spare(balances map[string]*Balance, now time.Duration) []Machine {
--- /dev/null
+++ b/job/explain.go
@@ -0,0 +1,73 @@
+package job
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// explainEvery is the time between log lines on why a job waits.
+const explainEvery = 5 * time.Second
+
+// explainWaiting logs why an accepted job of which nothing runs waits.
+func (p *Pool) explainWaiting(j *jobState, now Time) {
+	if now.Steady-max(j.accepted, j.explained) < explainEvery || j.running() {
+		return
+	}
+	j.explained = now.Steady
+	for _, o := range j.occurrences {
+		if t := o.firstWaiting(); t != nil {
+			p.event(Event{
+				Kind: "job waits", Job: j.spec.ID, Queue: j.spec.Queue, Task: t.id, Why: p.explain(t, now),
+				AgeMs: (now.Steady - j.accepted).Milliseconds(),
+			})
+			return
+		}
+	}
+}
+
+func (o *occurrence) firstWaiting() *task {
+	for i, tasks := range o.steps {
+		if o.open[i] == 0 || !o.ready(tasks[0].step) {
+			continue
+		}
+		for _, t := range tasks {
+			if !t.done && t.run == nil {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+// explain returns why a task does not run: how many workers are left after each of its conditions.
+func (p *Pool) explain(t *task, now Time) string {
+	s := t.step
+	if t.inherited && now.Steady < p.unlooked() {
+		return "may run on a worker that does not answer"
+	}
+	usable, labelled, room, allowed := 0, 0, 0, 0
+	for _, w := range p.workers {
+		if !w.usable(now) {
+			continue
+		}
+		usable++
+		if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
+			continue
+		}
+		labelled++
+		if !s.reserved().Fits(w.free()) {
+			continue
+		}
+		room++
+		if permits(s, t, w) && (!t.job.spec.Advised || p.ticket(t, w, now) != "") {
+			allowed++
+		}
+	}
+	kind := "task"
+	if s.Gang {
+		kind = fmt.Sprintf("gang of %d", s.Count)
+	}
+	return fmt.Sprintf("%s needs cpu=%d memMb=%d gpu=%d label=%q: %d of %d workers usable, %d with label, %d with room, %d allowed",
+		kind, s.Request.CPU, s.Request.MemMB, s.Request.GPU, s.Label, usable, len(p.workers), labelled, room, allowed)
+}
--- a/job/load.go
+++ b/job/load.go
@@ -1,6 +1,11 @@
 package job
 
-import "github.com/berylwharf/berylwharf/fleet"
+import (
+	"maps"
+	"slices"
+
+	"github.com/berylwharf/berylwharf/fleet"
+)
 
 // Load returns what the fleet controller needs to know of the pool.
 func (p *Pool) Load() fleet.Load {
@@ -12,7 +17,7 @@
 			Worker: w.info.ID, Runs: len(w.runs) + len(w.strays), Lasting: w.lasting(), Empty: p.Empty(w.info.ID),
 		})
 	}
-	l.Waiting = p.waitingShare(capacity)
+	l.Waiting, l.Labelled = p.waitingShare(capacity)
 	l.Least = p.leastWorkers()
 	return l
 }
@@ -44,32 +49,40 @@
 	return c
 }
 
-// waitingShare returns the room, in machines, that tasks need which could start now.
-func (p *Pool) waitingShare(machine Resources) float64 {
-	total := Resources{}
+// waitingShare returns the room, in machines, that tasks need which could start now, and the part of it for each label that
+// workers must have.
+func (p *Pool) waitingShare(machine Resources) (float64, []fleet.LabelNeed) {
+	requests := make(map[string]Resources)
 	for _, j := range p.jobs {
 		if j.phase != Active {
 			continue
 		}
 		for _, o := range j.occurrences {
-			total = total.Add(o.waitingRequest())
+			o.addWaiting(requests)
+		}
+	}
+	total := Resources{}
+	var labelled []fleet.LabelNeed
+	for _, label := range slices.Sorted(maps.Keys(requests)) {
+		total = total.Add(requests[label])
+		if label != "" {
+			labelled = append(labelled, fleet.LabelNeed{Label: label, Waiting: requests[label].Share(machine)})
 		}
 	}
-	return total.Share(machine)
+	return total.Share(machine), labelled
 }
 
-// waitingRequest returns the room that the tasks of an occurrence need which could start now.
-func (o *occurrence) waitingRequest() Resources {
-	total := Resources{}
+// addWaiting adds the room that the tasks of an occurrence need which could start now, by the label that they need.
+func (o *occurrence) addWaiting(requests map[string]Resources) {
 	for i, tasks := range o.steps {
-		if o.open[i] == 0 || !o.ready(tasks[0].step) {
+		step := tasks[0].step
+		if o.open[i] == 0 || !o.ready(step) {
 			continue
 		}
 		for _, t := range tasks {
 			if !t.done && t.run == nil {
-				total = total.Add(t.step.reserved())
+				requests[step.Label] = requests[step.Label].Add(step.reserved())
 			}
 		}
 	}
-	return total
 }
--- a/job/pool.go
+++ b/job/pool.go
@@ -105,8 +105,9 @@
 	started       bool
 	endMs         int64
 	accepted      time.Duration
-	first         int // least occurrence that is not done
-	next          int // least occurrence that is not yet due
+	explained     time.Duration // time of the last log line on why it waits
+	first         int           // least occurrence that is not done
+	next          int           // least occurrence that is not yet due
 	occurrences   map[int]*occurrence
 	dirtySpec     bool
 	dirtyProgress bool
@@ -294,6 +295,7 @@
 	if j.phase == Active && j.stored {
 		p.openDue(j, now)
 		p.finishDone(j, now)
+		p.explainWaiting(j, now)
 		return
 	}
 	if j.phase != Active && j.shown == j.phase && j.occurrences != nil && !j.running() {
--- a/job/worker.go
+++ b/job/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -68,7 +69,7 @@
 		w := p.workers[info.ID]
 		if w == nil {
 			w = p.addWorker(info, now)
-			p.event(Event{Kind: "worker listed", Worker: info.ID})
+			p.event(Event{Kind: "worker listed", Worker: info.ID, Why: strings.Join(info.Labels, ",")})
 		}
 		w.info = info
 		w.listed = true
