Let strong nodes own the shards

Cause: an owner on a node with 0.192 cores could not keep in touch with a large pool. Nodes below 0.35 usual cores join the group only while no strong member is seen for 3 s, and pools grow to 300 machines.

--- a/fleet/move.go
+++ b/fleet/move.go
@@ -20,7 +20,7 @@
 	minPool = 3
 	// maxPool is the greatest size to which a pool is filled. The owner of a pool keeps in touch with each worker; on a node
 	// with a fifth of a core it could not extend the leases of 166 workers in a flood.
-	maxPool = 100
+	maxPool = 300
 	// stayFor is how long a machine stays in a pool before it is given away again.
 	stayFor = 2500 * time.Millisecond
 	// parkAfter is how long a machine must run nothing before it is put on standby.
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -25,6 +25,8 @@
 	joinEvery = 600 * time.Millisecond
 	// joinTimeout bounds one confirmation.
 	joinTimeout = 550 * time.Millisecond
+	// standInAfter is how long no strong member must be seen before other nodes own shards.
+	standInAfter = 3 * time.Second
 	// ownersEvery is the time between reads of the shards' owners.
 	ownersEvery = 1200 * time.Millisecond
 	// ownersAtOnce is the least time between reads that failed requests ask for.
@@ -73,6 +75,7 @@
 	refreshOwners  chan struct{}
 	refreshWorkers chan struct{}
 	leaving        atomic.Bool
+	strongSeen     atomic.Int64 // steady time in nanoseconds at which a strong member was last seen
 
 	mu     sync.Mutex
 	shards map[int]*shard
@@ -93,7 +96,7 @@
 		store: p.Store, group: p.Group, source: p.Directory, operators: p.Operators, workers: p.Workers,
 		machines:       p.Machines,
 		metrics:        newNodeMetrics(),
-		member:         fmt.Sprintf("%s@%s", s.Node, s.Peers),
+		member:         memberName(s),
 		refreshOwners:  make(chan struct{}, 1),
 		refreshWorkers: make(chan struct{}, 1),
 		shards:         make(map[int]*shard),
@@ -102,6 +105,7 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.entries.Store(&directoryView{})
+	n.strongSeen.Store(int64(clock.Now().Steady))
 	n.handlePeers()
 	return n
 }
@@ -126,16 +130,7 @@
 func (n *Node) handOver() {
 	n.leaving.Store(true)
 	n.log.Event(LogEvent{Part: "node", What: "handing over"})
-	n.mu.Lock()
-	for _, s := range n.shards {
-		s.lose("the node stops")
-	}
-	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-	defer cancel()
-	if err := n.group.Leave(ctx, n.member); err != nil {
-		n.log.Event(LogEvent{Part: "node", What: "leaving the group failed", Why: err.Error()})
-	}
+	n.giveBack("the node stops")
 }
 
 // Ready tells whether the node can serve callers.
@@ -169,6 +164,11 @@
 	var generation int64
 	for n.ctx.Err() == nil && !n.leaving.Load() {
 		sent := n.clock.Now()
+		if !n.needed(sent) {
+			n.stepBack()
+			pause(n.ctx, joinEvery)
+			continue
+		}
 		ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
 		m, err := n.group.Join(ctx, n.member, membershipTTL, generation)
 		cancel()
@@ -190,6 +190,35 @@
 	}
 }
 
+// needed tells whether the node should own shards: it is strong, or no strong member was seen for some time.
+func (n *Node) needed(now job.Time) bool {
+	return n.settings.strong() || int64(now.Steady)-n.strongSeen.Load() > int64(standInAfter)
+}
+
+// stepBack gives the shards of a node that is not strong back to strong ones.
+func (n *Node) stepBack() {
+	if n.confirmedUntil.Swap(0) == 0 {
+		return
+	}
+	n.log.Event(LogEvent{Part: "node", What: "strong nodes are back"})
+	n.giveBack("strong nodes are back")
+}
+
+// giveBack ends all ownerships and leaves the group.
+func (n *Node) giveBack(why string) {
+	n.mu.Lock()
+	for number, s := range n.shards {
+		s.lose(why)
+		delete(n.shards, number)
+	}
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	if err := n.group.Leave(ctx, n.member); err != nil {
+		n.log.Event(LogEvent{Part: "node", What: "leaving the group failed", Why: err.Error()})
+	}
+}
+
 // own begins and ends the ownership of shards after a confirmation.
 func (n *Node) own(m Membership) {
 	listed := make(map[int]bool, len(m.Shards))
@@ -344,6 +373,11 @@
 		n.log.Event(LogEvent{Part: "node", What: "owners not known", Why: err.Error()})
 		return
 	}
+	for _, member := range owners {
+		if !strings.HasSuffix(member, weakSuffix) {
+			n.strongSeen.Store(int64(n.clock.Now().Steady))
+		}
+	}
 	n.mu.Lock()
 	changed := !maps.Equal(n.owners, owners)
 	n.owners = owners
@@ -364,9 +398,21 @@
 	return out
 }
 
-// splitMember splits a member name of the form NODE@ADDRESS.
+// weakSuffix ends the member names of nodes that are not strong.
+const weakSuffix = "~"
+
+// memberName returns the name of a node in the group: NODE@ADDRESS, with weakSuffix if the node is not strong.
+func memberName(s *Settings) string {
+	name := fmt.Sprintf("%s@%s", s.Node, s.Peers)
+	if !s.strong() {
+		name += weakSuffix
+	}
+	return name
+}
+
+// splitMember splits a member name.
 func splitMember(member string) (node, addr string, err error) {
-	node, addr, ok := strings.Cut(member, "@")
+	node, addr, ok := strings.Cut(strings.TrimSuffix(member, weakSuffix), "@")
 	if !ok {
 		return "", "", errors.Errorf("member %q does not have the form NODE@ADDRESS", member)
 	}
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -26,6 +26,10 @@
 	Store    string `json:"store"`
 	Machines string `json:"machines"`
 	Advice   string `json:"advice"`
+	// CPUShare is the part of a core that the node has, and CPUSpeed how much faster than usual that core is. Zero means
+	// that it is not known.
+	CPUShare float64 `json:"cpuShare"`
+	CPUSpeed float64 `json:"cpuSpeed"`
 	// Shards is the number of partitions of the store's topics.
 	Shards int    `json:"shards"`
 	Bounds Bounds `json:"bounds"`
@@ -89,6 +93,15 @@
 	return nil
 }
 
+// strongCPU is the processor, in usual cores, from which a node owns shards whenever it can. An owner makes hundreds of calls a
+// second to its workers in a flood; 0.2 cores did not suffice for a pool of 166.
+const strongCPU = 0.35
+
+// strong tells whether a node owns shards whenever it can. Others do so only while there is no strong node.
+func (s *Settings) strong() bool {
+	return s.CPUShare == 0 || s.CPUShare*max(1, s.CPUSpeed) >= strongCPU
+}
+
 // maxLease is the lease that the node asks for.
 func (b Bounds) maxLease() time.Duration {
 	return min(wantedLease, time.Duration(b.MaxLeaseMs)*time.Millisecond)
