Keep a worker free for a lasting or starving task that waits for room

A large lasting task could wait for ever in a full pool, because each piece of room that became free went to a smaller task.

--- a/job/place.go
+++ b/job/place.go
@@ -10,12 +10,14 @@
 	pool   *Pool
 	usable []*worker
 	racks  map[string]bool // racks of usable workers
+	// held are workers on which nothing else starts, because a task waits for more room there.
+	held map[*worker]bool
 	// tooLarge holds requests for which no worker had room in this pass; what needs as much is not tried again.
 	tooLarge []Resources
 }
 
 func newPass(p *Pool, now Time) *pass {
-	ps := &pass{pool: p, racks: make(map[string]bool)}
+	ps := &pass{pool: p, racks: make(map[string]bool), held: make(map[*worker]bool)}
 	for _, w := range p.sortedWorkers() {
 		if w.usable(now) {
 			ps.usable = append(ps.usable, w)
@@ -37,7 +39,7 @@
 	bestScore := 0.0
 	fits := false
 	for _, w := range ps.usable {
-		if !need.Fits(w.free()) {
+		if ps.held[w] || !need.Fits(w.free()) {
 			continue
 		}
 		fits = true
@@ -58,6 +60,35 @@
 	return best
 }
 
+// hold keeps a worker free of other tasks for the rest of the pass, so that the room for a task adds up there. It is the
+// worker of the last pass, or the one with the most room.
+//
+// It answers full pools: each piece of room that becomes free is too small for a large task and would go to a smaller one.
+func (ps *pass) hold(t *task) {
+	best := t.waitsFor
+	if best == nil || !slices.Contains(ps.usable, best) || ps.held[best] || !permits(t.step, t, best) {
+		best = ps.roomiest(t)
+	}
+	t.waitsFor = best
+	if best != nil {
+		ps.held[best] = true
+	}
+}
+
+// roomiest returns the worker with the most room of those that could run a task if they were empty.
+func (ps *pass) roomiest(t *task) *worker {
+	var best *worker
+	for _, w := range ps.usable {
+		if ps.held[w] || !permits(t.step, t, w) || !t.step.reserved().Fits(w.info.Capacity) {
+			continue
+		}
+		if best == nil || w.used.Share(w.info.Capacity) < best.used.Share(best.info.Capacity) {
+			best = w
+		}
+	}
+	return best
+}
+
 // hopeless tells whether no worker had room for a request that is not larger.
 func (ps *pass) hopeless(need Resources) bool {
 	for _, r := range ps.tooLarge {
@@ -194,7 +225,7 @@
 ) *worker {
 	s := t.step
 	for _, w := range ps.usable {
-		if rack != "" && w.info.Rack != rack {
+		if ps.held[w] || (rack != "" && w.info.Rack != rack) {
 			continue
 		}
 		if t.job.spec.Advised && ps.pool.ticket(t, w, now) == "" {
--- a/job/pool.go
+++ b/job/pool.go
@@ -83,7 +83,7 @@
 	run      *run
 	// inherited tasks may run on a worker that this owner could not look at yet.
 	inherited bool
-	waitUntil time.Duration // not started before
+	waitsFor  *worker       // kept free of other tasks until there is room for this one
 	readyAt   time.Duration // since when it could start
 	missing   time.Duration // since when a lasting task is not at work
 }
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -188,11 +188,13 @@
 			continue
 		}
 		for _, t := range tasks {
-			if t.done || t.run != nil || (t.inherited && blocked) || now.Steady < t.waitUntil {
+			if t.done || t.run != nil || (t.inherited && blocked) {
 				continue
 			}
 			if worker := pass.place(t, now); worker != nil {
 				p.start(t, worker, now)
+			} else if w.precedence <= precedenceStarving {
+				pass.hold(t)
 			}
 		}
 	}
--- a/job/upkeep_test.go
+++ b/job/upkeep_test.go
@@ -73,3 +73,43 @@
 		t.Fatalf("stopped %+v, want the task on the evacuated worker", s)
 	}
 }
+
+// TestLargeLastingTaskGetsRoom guards against a lasting task that waits for ever in a full pool, because each piece of room
+// that becomes free is too small for it and goes to a smaller task.
+func TestLargeLastingTaskGetsRoom(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.submit(oneStep("short", 40, 1000))
+	var running []Order
+	for _, o := range starts(p.tick()) {
+		p.Started(o, ResultDone, p.now)
+		running = append(running, o)
+	}
+	if len(running) != 4 {
+		t.Fatalf("%d tasks run, want 4", len(running))
+	}
+	s := lasting("large", 1, 1)
+	s.Steps[0].Request.CPU = 3000
+	p.submit(s)
+	for i := range 8 {
+		if len(running) == 0 {
+			t.Fatal("nothing runs")
+		}
+		o := running[0]
+		running = running[1:]
+		p.advance(300 * time.Millisecond)
+		rep := Report{Worker: "a", Born: 1, SentAt: p.now.Steady}
+		rep.Ended = []EndedTask{{Number: int64(i + 1), Task: o.Task, Run: o.Run, How: EndDone}}
+		for _, r := range running {
+			rep.Running = append(rep.Running, RunningTask{Task: r.Task, Run: r.Run})
+		}
+		p.Report(rep, p.now)
+		for _, next := range starts(p.tick()) {
+			p.Started(next, ResultDone, p.now)
+			if next.Task.Job == "large" {
+				return
+			}
+			running = append(running, next)
+		}
+	}
+	t.Fatal("the large task did not start")
+}
