Release shards on a graceful stop; let a new fleet controller wait for each machine by itself

A stopping owner now finishes what is in flight and says in its claim that it orders no more; a machine whose worker is older than the pause between holders can not have been ordered within it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,7 @@
 // WorkerLoad is what the owner of a pool says of one worker.
 type WorkerLoad struct {
 	Worker string `cbor:"1,keyasint"`
+	AgeMs  int64  `cbor:"5,keyasint,omitempty"` // since the worker's start, by the clocks of two machines
 	Runs   int    `cbor:"2,keyasint,omitempty"` // tasks that run or are about to
 	// Lasting counts the runs that only end when their job is cancelled.
 	Lasting int `cbor:"3,keyasint,omitempty"`
@@ -142,7 +143,9 @@
 
 // Controller decides on machines. It is not safe for concurrent use.
 type Controller struct {
-	begin    time.Duration // no order before
+	begin    time.Duration       // no order before
+	pause    time.Duration       // between orders of two controllers for one machine
+	upSince  map[string]lifeSeen // by host
 	seen     Observation
 	machines map[string]Machine
 	ops      map[string]*operation // by host
@@ -160,10 +163,21 @@
 // route is a move from one pool to another.
 type route struct{ from, to string }
 
-// New returns a controller that sends its first order at begin or later.
-func New(begin time.Duration) *Controller {
+// lifeSeen is since when a machine is seen up as the same worker.
+type lifeSeen struct {
+	worker string
+	since  time.Duration
+	own    bool // this controller has ordered the machine
+}
+
+// clockReserve covers the difference between the clocks of two machines.
+const clockReserve = time.Second
+
+// New returns a controller that sends its first order at begin or later. A machine that an earlier controller may have
+// ordered within pause gets its first order only after it; pause is zero for the first controller of a system.
+func New(begin, pause time.Duration) *Controller {
 	return &Controller{
-		begin: begin, ops: make(map[string]*operation), waves: make(map[int64]*waveState),
+		begin: begin, pause: pause, upSince: make(map[string]lifeSeen), ops: make(map[string]*operation), waves: make(map[int64]*waveState),
 		idle: make(map[string]time.Duration), given: make(map[string]time.Duration),
 		mismatch: make(map[route]bool), demand: make(map[string]demandAverage),
 	}
@@ -185,6 +199,7 @@
 			c.waves[w.Number] = newWaveState(w, now)
 		}
 	}
+	c.trackLives(now)
 	c.finishOperations(now)
 	c.trackIdle(now)
 	c.trackDemand(now)
@@ -215,6 +230,27 @@
 	}
 }
 
+// trackLives notes since when each machine is up as the same worker.
+func (c *Controller) trackLives(now time.Duration) {
+	for host, m := range c.machines {
+		seen := c.upSince[host]
+		if m.State != Up || seen.worker != m.Worker {
+			c.upSince[host] = lifeSeen{worker: m.Worker, since: now, own: seen.own}
+		}
+	}
+}
+
+// undisturbed tells whether no earlier controller ordered a machine within the pause. A machine that was ordered has a new
+// worker, so the age of its worker tells.
+func (c *Controller) undisturbed(m Machine, now time.Duration) bool {
+	seen := c.upSince[m.Host]
+	if c.pause == 0 || seen.own || now-seen.since >= c.pause {
+		return true
+	}
+	w, ok := c.load(m)
+	return ok && time.Duration(w.AgeMs)*time.Millisecond >= c.pause+clockReserve
+}
+
 // trackIdle notes since when each machine runs nothing.
 func (c *Controller) trackIdle(now time.Duration) {
 	busy := make(map[string]bool)
@@ -295,6 +331,9 @@
 		op.waiting = true
 		op.ordered = now
 		op.worker = m.Worker
+		seen := c.upSince[host]
+		seen.own = true
+		c.upSince[host] = seen
 		p.Orders = append(p.Orders, op.order)
 	}
 	c.collectWaves(p)
@@ -311,7 +350,7 @@
 	if op.order.Kind == OrderMaintenance && op.ordered == 0 && !c.waves[op.order.Wave].room(c.down(op.order.Wave)) {
 		return false
 	}
-	return c.empty(m)
+	return c.empty(m) && c.undisturbed(m, now)
 }
 
 // down counts the machines that are down, or may be, for a wave.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,10 +17,11 @@
 	waves    []Wave
 	evacuate map[string][]string
 	lives    int
+	age      int64 // of the workers, in milliseconds
 }
 
 func newWorld(t *testing.T, sizes map[string]int) *world {
-	w := &world{t: t, c: New(0), now: time.Hour, loads: make(map[string]Load)}
+	w := &world{t: t, c: New(0, 0), now: time.Hour, loads: make(map[string]Load)}
 	pools := []string{"a", "b", "spare"}
 	for _, pool := range pools {
 		for i := range sizes[pool] {
@@ -44,7 +45,7 @@
 			if m.Pool != pool || m.State != Up {
 				continue
 			}
-			wl := WorkerLoad{Worker: m.Worker}
+			wl := WorkerLoad{Worker: m.Worker, AgeMs: w.age}
 			evacuated := slices.Contains(w.evacuate[pool], m.Worker)
 			if left > 0 && !evacuated {
 				wl.Runs = 1
@@ -170,7 +171,7 @@
 // TestNewControllerWaits guards against two controllers that order the same machine in turns.
 func TestNewControllerWaits(t *testing.T) {
 	w := newWorld(t, map[string]int{"a": 4, "spare": 6})
-	w.c = New(w.now + 2*time.Second)
+	w.c = New(w.now+2*time.Second, 0)
 	w.load("a", 4, 20)
 	for range 9 {
 		if plan := w.round(); len(plan.Orders) > 0 {
@@ -223,3 +224,34 @@
 		}
 	}
 }
+
+// TestControllersDoNotTakeTurns guards against orders of two controllers for one machine shortly after each other, and
+// against a controller that orders nothing for seconds after each change of the owner.
+func TestControllersDoNotTakeTurns(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 4, "b": 8, "spare": 1})
+	w.c = New(w.now, 3*time.Second)
+	w.load("a", 4, 8)
+	w.load("b", 0, 0)
+	begin := w.now
+	w.age = 10_000
+	first := make(map[string]time.Duration)
+	for range 20 {
+		for _, o := range w.round().Orders {
+			if _, ok := first[o.Host]; !ok {
+				first[o.Host] = w.now - begin
+			}
+		}
+	}
+	if at, ok := first["spare0"]; ok && at < 3*time.Second {
+		t.Errorf("a machine of unknown age was ordered after %v", at)
+	}
+	early := 0
+	for _, at := range first {
+		if at < time.Second {
+			early++
+		}
+	}
+	if early == 0 {
+		t.Errorf("no machine was ordered within a second: %v", first)
+	}
+}
--- a/job/load.go
+++ b/job/load.go
@@ -8,13 +8,13 @@
 )
 
 // Load returns what the fleet controller needs to know of the pool.
-func (p *Pool) Load() fleet.Load {
+func (p *Pool) Load(now Time) fleet.Load {
 	var l fleet.Load
 	capacity := p.machine()
 	for _, w := range p.sortedWorkers() {
 		l.Used += w.used.Share(capacity)
 		l.Workers = append(l.Workers, fleet.WorkerLoad{
-			Worker: w.info.ID, Runs: len(w.runs) + len(w.strays), Lasting: w.lasting(), Empty: p.Empty(w.info.ID),
+			Worker: w.info.ID, AgeMs: now.WallMs - w.born, Runs: len(w.runs) + len(w.strays), Lasting: w.lasting(), Empty: p.Empty(w.info.ID),
 		})
 	}
 	l.Waiting, l.Labelled = p.waitingShare(capacity)
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -51,13 +51,16 @@
 }
 
 func newFleetLoop(s *shard) *fleetLoop {
-	begin := s.begun.Steady
+	begin, between := s.begun.Steady, time.Duration(0)
 	if s.epoch > 1 {
-		// An earlier controller may still order until its membership lapses, and the platform wants a pause between holders.
-		begin += membershipTTL + time.Duration(s.node.settings.Bounds.OrderLeaseMs)*time.Millisecond + machineTimeout
+		between = time.Duration(s.node.settings.Bounds.OrderLeaseMs) * time.Millisecond
+	}
+	if s.epoch > 1 && !s.released {
+		// The earlier controller may still order until its membership lapses.
+		begin += membershipTTL + machineTimeout
 	}
 	f := &fleetLoop{
-		shard: s, node: s.node, controller: fleet.New(begin),
+		shard: s, node: s.node, controller: fleet.New(begin, between),
 		evacuate: make(map[string][]string), published: make(map[int64]bool),
 	}
 	for _, r := range s.loaded.Other {
@@ -91,7 +94,7 @@
 func (f *fleetLoop) round() {
 	now := f.node.clock.Now()
 	config := f.node.Config()
-	if config == nil || !f.node.confirmed(now) {
+	if config == nil || !f.node.confirmed(now) || f.shard.releasing.Load() {
 		return
 	}
 	if now.Steady-f.listedAt >= machinesEvery {
@@ -102,7 +105,7 @@
 	}
 	loads := f.loads(config)
 	now = f.node.clock.Now()
-	if !f.node.confirmed(now) {
+	if !f.node.confirmed(now) || f.shard.releasing.Load() {
 		return
 	}
 	f.mu.Lock()
@@ -113,6 +116,7 @@
 	f.mu.Unlock()
 	f.evacuate = plan.Evacuate
 	f.logBalances(plan, now)
+	f.shard.machineOrders.Add(int32(len(plan.Orders)))
 	for _, o := range plan.Orders {
 		f.node.wg.Go(func() { f.order(o) })
 	}
@@ -180,6 +184,7 @@
 
 // order sends an order for a machine.
 func (f *fleetLoop) order(o fleet.Order) {
+	defer f.shard.machineOrders.Add(-1)
 	ctx, cancel := context.WithTimeout(f.shard.ctx, machineTimeout)
 	defer cancel()
 	result, err := f.node.machines.Order(ctx, f.node.settings.Node, f.shard.epoch, o)
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -207,11 +208,14 @@
 // giveBack ends all ownerships and leaves the group.
 func (n *Node) giveBack(why string) {
 	n.mu.Lock()
-	for number, s := range n.shards {
-		s.lose(why)
-		delete(n.shards, number)
-	}
+	shards := slices.Collect(maps.Values(n.shards))
 	n.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, s := range shards {
+		wg.Go(s.release)
+	}
+	wg.Wait()
+	n.log.Event(LogEvent{Part: "node", What: "shards given back", Count: len(shards), Why: why})
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	if err := n.group.Leave(ctx, n.member); err != nil {
--- a/jobmanager/requests.go
+++ b/jobmanager/requests.go
@@ -32,7 +32,7 @@
 ) outcome {
 	reply := make(chan outcome, 1)
 	ran := s.call(ctx, func(now job.Time) {
-		if !s.node.confirmed(now) {
+		if !s.node.confirmed(now) || s.releasing.Load() {
 			reply <- outcome{err: errNotOwner}
 			return
 		}
@@ -98,7 +98,7 @@
 		p := s.pool(pool, now)
 		p.Evacuate(evacuate)
 		s.evacuated[pool] = now.Steady + evacuationTTL
-		l := p.Load()
+		l := p.Load(now)
 		load, err = &l, nil
 	})
 	return load, err
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -77,10 +78,14 @@
 	extra     []job.Record             // to store with the next commit
 	nonce     string                   // tells this ownership's claim from others
 	seq       int64                    // of the last append
-	commitAt  time.Duration            // begin of the outstanding commit, 0 if there is none
-	lastAt    time.Duration            // begin of the last commit
-	stepAt    time.Duration
-	stepTook  time.Duration // duration of the last round
+	released  bool                     // the earlier owner had stopped ordering
+	// releasing states that the shard is handed over: nothing new is accepted or ordered.
+	releasing     atomic.Bool
+	machineOrders atomic.Int32  // orders for machines on their way
+	commitAt      time.Duration // begin of the outstanding commit, 0 if there is none
+	lastAt        time.Duration // begin of the last commit
+	stepAt        time.Duration
+	stepTook      time.Duration // duration of the last round
 }
 
 func newShard(n *Node, number int) *shard {
@@ -203,6 +208,10 @@
 		// Another node may own the shard by now. Nothing is ordered until the store confirms the membership again.
 		return
 	}
+	if s.releasing.Load() {
+		s.commit(now)
+		return
+	}
 	s.endEvacuations(now)
 	for name, p := range s.pools {
 		p.Tick(now)
--- a/jobmanager/takeover.go
+++ b/jobmanager/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 	Epoch int64  `cbor:"1,keyasint"`
 	Node  string `cbor:"2,keyasint"`
 	Nonce string `cbor:"3,keyasint"`
+	// Released states that the owner has stopped ordering by itself.
+	Released bool `cbor:"4,keyasint,omitempty"`
 }
 
 // takeOver claims the shard, which fences earlier owners, and loads the stored records.
@@ -47,6 +50,7 @@
 	}
 	if last.Nonce != s.nonce {
 		s.epoch = last.Epoch + 1
+		s.released = last.Released
 		if err := s.claim(ctx, end); err != nil {
 			return errors.Wrap(err, "claiming")
 		}
@@ -60,11 +64,60 @@
 }
 
 func (s *shard) claim(ctx context.Context, end int64) error {
-	value, err := cbor.Marshal(claim{Epoch: s.epoch, Node: s.node.settings.Node, Nonce: s.nonce})
+	record, err := s.claimRecord(false)
 	if err != nil {
 		return err
 	}
-	return s.node.store.Claim(ctx, s.number, s.epoch, end, job.Record{Key: claimKey, Value: value})
+	return s.node.store.Claim(ctx, s.number, s.epoch, end, record)
+}
+
+func (s *shard) claimRecord(released bool) (job.Record, error) {
+	value, err := cbor.Marshal(claim{Epoch: s.epoch, Node: s.node.settings.Node, Nonce: s.nonce, Released: released})
+	return job.Record{Key: claimKey, Value: value}, err
+}
+
+const (
+	// releaseTimeout bounds the release of a shard; a successor waits longer without it, but takes over all the same.
+	releaseTimeout = 900 * time.Millisecond
+	// releasePoll is the time between looks for the end of what is in flight.
+	releasePoll = 10 * time.Millisecond
+)
+
+// release ends the ownership after what is in flight: commits are stored, orders for machines have ended, and the claim says
+// that the successor need not wait for orders of this owner.
+func (s *shard) release() {
+	ctx, cancel := context.WithTimeout(s.ctx, releaseTimeout)
+	defer cancel()
+	s.releasing.Store(true)
+	settled := false
+	for !settled && ctx.Err() == nil {
+		s.call(ctx, func(now job.Time) { settled = s.settled() && s.machineOrders.Load() == 0 })
+		pause(ctx, releasePoll)
+	}
+	if settled {
+		s.storeRelease(ctx)
+	}
+	s.lose("the node stops")
+}
+
+// settled tells whether nothing waits to be stored.
+func (s *shard) settled() bool {
+	for _, p := range s.pools {
+		if p.Dirty() {
+			return false
+		}
+	}
+	return s.commitAt == 0 && len(s.extra) == 0
+}
+
+func (s *shard) storeRelease(ctx context.Context) {
+	record, err := s.claimRecord(true)
+	if err == nil {
+		err = s.node.store.Append(ctx, s.number, s.epoch, s.seq+1, []job.Record{record})
+	}
+	if err != nil {
+		s.node.log.Event(LogEvent{Part: "shard", What: "not released", Shard: s.number, Epoch: s.epoch, Why: err.Error()})
+	}
 }
 
 // splitClaim takes the claim out of the records of a shard. The claim is zero when there is none yet.
