Stop within the grace period; give each listener of the tests its own address

A daemon test failed once on 'bind: address already in use' (traced by 36 runs beside load, one failure): a free port of the shared loopback address was taken before its use.

--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -65,13 +65,14 @@
 // Stop hands the node's shards over, passes requests on for a while, and ends when nothing is in flight.
 func (d *Daemon) Stop() {
 	d.log.Event(jobmanager.LogEvent{Part: "node", What: "stopping"})
-	d.stopNode()
-	<-d.nodeDone
 	grace := time.Duration(d.settings.Bounds.GraceS * float64(time.Second))
-	wait := min(passOnFor, grace/2)
-	time.Sleep(wait)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-wait-stopReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopReserve)
 	defer cancel()
+	passOn := time.NewTimer(min(passOnFor, grace/2))
+	defer passOn.Stop()
+	d.stopNode()
+	<-d.nodeDone
+	<-passOn.C
 	for _, server := range d.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			d.log.Event(jobmanager.LogEvent{Part: "node", What: "requests cut off", Why: err.Error()})
--- a/jobdaemon/daemon_test.go
+++ b/jobdaemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,9 +93,15 @@
 	}
 }
 
+// addresses counts the loopback addresses that were handed out.
+var addresses atomic.Int32
+
+// freeAddr returns an address of its own for each call. On one shared address, a port that is free now may be handed out
+// twice, or be taken by an outgoing connection before it is used.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n/250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
