Make the release of a shard its last append

Cause: a report that arrived after the release was prepared was committed under the number of the release, so the store took the commit for a repetition and dropped it.

--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -79,6 +79,7 @@
 	nonce     string                   // tells this ownership's claim from others
 	seq       int64                    // of the last append
 	released  bool                     // the earlier owner had stopped ordering
+	closed    bool                     // the release is the last append; what arrives now is left to the successor
 	// releasing states that the shard is handed over: nothing new is accepted or ordered.
 	releasing     atomic.Bool
 	machineOrders atomic.Int32  // orders for machines on their way
@@ -305,7 +306,7 @@
 
 // commit stores the changes of all pools in one append. One append is outstanding at a time.
 func (s *shard) commit(now job.Time) {
-	if s.commitAt != 0 || now.Steady-s.lastAt < commitEvery {
+	if s.closed || s.commitAt != 0 || now.Steady-s.lastAt < commitEvery {
 		return
 	}
 	commits := make(map[*job.Pool]*job.Commit)
--- a/jobmanager/takeover.go
+++ b/jobmanager/takeover.go
@@ -91,7 +91,10 @@
 	s.releasing.Store(true)
 	settled := false
 	for !settled && ctx.Err() == nil {
-		s.call(ctx, func(now job.Time) { settled = s.settled() && s.machineOrders.Load() == 0 })
+		s.call(ctx, func(job.Time) {
+			settled = s.settled() && s.machineOrders.Load() == 0
+			s.closed = settled
+		})
 		pause(ctx, releasePoll)
 	}
 	if settled {
