--- /dev/null
+++ b/job/model_worker_test.go
@@ -0,0 +1,153 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// advance ends the runs of a worker whose time or lease is over.
+func (m *model) advance(w *modelWorker) {
+	ids := make([]TaskID, 0, len(w.running))
+	for id := range w.running {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareTasks)
+	for _, id := range ids {
+		r := w.running[id]
+		switch {
+		case m.now.Steady > w.expires:
+			m.end(w, r, EndLapsed)
+		case m.now.Steady > r.ends && r.fails:
+			m.end(w, r, EndFailed)
+		case m.now.Steady > r.ends:
+			m.end(w, r, EndDone)
+		}
+	}
+	if m.now.Steady > w.expires {
+		for _, e := range w.ended {
+			e.lapsed = true
+		}
+	}
+}
+
+func (m *model) end(w *modelWorker, r *modelRun, how End) {
+	delete(w.running, r.id)
+	w.highest[r.id] = max(w.highest[r.id], r.run)
+	w.number++
+	r.number, r.how, r.endAt = w.number, how, m.now.Steady
+	w.ended = append(w.ended, r)
+	if how == EndDone {
+		m.done[r.id] = true
+	}
+}
+
+func (m *model) carryOut(o *modelOwner, w *modelWorker, order Order, expires time.Duration) (result Result, fenced bool) {
+	if o.epoch < w.fence {
+		return 0, true
+	}
+	w.fence = o.epoch
+	if order.Kind == OrderStop {
+		w.highest[order.Task] = max(w.highest[order.Task], order.Run)
+		if r := w.running[order.Task]; r != nil && r.run <= order.Run {
+			m.end(w, r, EndStopped)
+		}
+		return ResultDone, false
+	}
+	if order.Kind != OrderStart {
+		return ResultDone, false
+	}
+	if expires < m.now.Steady {
+		return ResultLate, false
+	}
+	if r := w.running[order.Task]; r != nil && r.run == order.Run {
+		w.expires = max(w.expires, expires)
+		return ResultDone, false
+	}
+	if order.Run <= w.highest[order.Task] || w.running[order.Task] != nil {
+		return ResultOldRun, false
+	}
+	w.expires = max(w.expires, expires)
+	m.begin(w, order)
+	return ResultDone, false
+}
+
+// begin begins a run and checks what must hold for it.
+func (m *model) begin(w *modelWorker, order Order) {
+	id := order.Task
+	spec := m.accepted[id.Job]
+	if spec == nil || m.store[keySpec+id.Job] == nil {
+		m.errorf("%v started, but its job was not accepted", id)
+		return
+	}
+	step := &spec.Steps[id.Step]
+	for _, d := range step.DependsOn {
+		for i := range spec.Steps[d].Count {
+			if !m.done[TaskID{Job: id.Job, Step: d, Index: i}] {
+				m.errorf("%v started before step %d was done", id, d)
+			}
+		}
+	}
+	for _, other := range m.workers {
+		if other.running[id] != nil {
+			m.errorf("%v run %d started at %s while run %d runs at %s", id, order.Run, w.id, other.running[id].run, other.id)
+		}
+	}
+	if m.noted[id] {
+		m.errorf("%v run %d started after its end was noted", id, order.Run)
+	}
+	if len(m.failed[id]) >= spec.Attempts {
+		m.errorf("%v run %d started after %d failed runs", id, order.Run, len(m.failed[id]))
+	}
+	if at, ok := m.cancels[id.Job]; ok && m.now.Steady-at > 8*time.Second {
+		m.errorf("%v started %v after its cancellation", id, m.now.Steady-at)
+	}
+	used, same := step.Request, 1
+	for other, r := range w.running {
+		used = used.Add(r.size)
+		if other.Job == id.Job && other.Step == id.Step {
+			same++
+		}
+	}
+	if !used.Fits(w.capacity) {
+		m.errorf("%v started at %s beyond its capacity", id, w.id)
+	}
+	if step.MaxPerWorker > 0 && same > step.MaxPerWorker {
+		m.errorf("%v: %d tasks of the step on %s", id, same, w.id)
+	}
+	w.running[id] = &modelRun{
+		id: id, run: order.Run, size: step.Request, fails: m.chance(0.1),
+		ends: m.now.Steady + time.Duration(100+m.rnd.IntN(1500))*time.Millisecond,
+	}
+}
+
+// note forgets the ends up to a number: they are taken note of.
+func (m *model) note(w *modelWorker, upTo int64) {
+	for len(w.ended) > 0 && w.ended[0].number <= upTo {
+		e := w.ended[0]
+		w.ended = w.ended[1:]
+		if e.lapsed {
+			continue
+		}
+		switch e.how {
+		case EndDone:
+			m.noted[e.id] = true
+		case EndFailed:
+			if m.failed[e.id] == nil {
+				m.failed[e.id] = make(map[int]bool)
+			}
+			m.failed[e.id][e.run] = true
+		}
+	}
+}
+
+func (w *modelWorker) report(sent time.Duration) Report {
+	rep := Report{Worker: w.id, Born: w.born, SentAt: sent}
+	for _, r := range w.running {
+		rep.Running = append(rep.Running, RunningTask{Task: r.id, Run: r.run})
+	}
+	slices.SortFunc(rep.Running, func(a, b RunningTask) int { return compareTasks(a.Task, b.Task) })
+	for _, e := range w.ended {
+		rep.Ended = append(rep.Ended, EndedTask{Number: e.number, Task: e.id, Run: e.run, How: e.how})
+	}
+	return rep
+}
