End a start that was never confirmed when its lease has expired

A run whose start and stop both stayed without a confirmation was kept for as long as its worker reported, because reports extend the lease by which it would have ended: the task was not started again until another owner took over. Ruled out: room, since lasting tasks come first and hold a worker.

--- a/job/order.go
+++ b/job/order.go
@@ -82,6 +82,7 @@
 }
 
 func (p *Pool) sendStart(r *run, now Time) {
+	r.started = now.Steady
 	t := r.task
 	saved := ""
 	if t.step.Checkpointable {
@@ -154,7 +155,11 @@
 // without an answer is settled by the next report.
 func (p *Pool) Stopped(o Order, result Result, now Time) {
 	w := p.workers[o.Worker]
-	if w == nil || result != ResultDone {
+	if w == nil {
+		return
+	}
+	if result != ResultDone {
+		p.event(Event{Kind: "stop failed", Task: o.Task, Run: o.Run, Worker: o.Worker, Count: int(result)})
 		return
 	}
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.active == 0 {
--- a/job/order_test.go
+++ b/job/order_test.go
@@ -76,3 +76,28 @@
 		t.Fatalf("%d starts after the stop was settled, want 1", len(s))
 	}
 }
+
+// TestUnsettledStartEnds guards against a task that waits for ever for a start whose answer was lost: the worker keeps
+// reporting, so its lease is extended, but it never confirms the stop of a run that it does not know.
+func TestUnsettledStartEnds(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.submit(oneStep("x", 1, 1000))
+	o := starts(p.tick())[0]
+	p.Started(o, ResultNoAnswer, p.now)
+	for range 20 {
+		p.advance(500 * time.Millisecond)
+		p.Extended("a", p.now)
+		p.report("a")
+		for _, again := range p.tick() {
+			switch {
+			case again.Kind == OrderStart && again.Run > o.Run:
+				return
+			case again.Kind == OrderStart:
+				p.Started(again, ResultNoAnswer, p.now)
+			default:
+				p.Stopped(again, ResultInvalid, p.now)
+			}
+		}
+	}
+	t.Fatal("the task was not started again after the start had expired")
+}
--- a/job/pool.go
+++ b/job/pool.go
@@ -61,6 +61,7 @@
 	worker   *worker
 	state    runState
 	ordered  time.Duration // time of the last order about the run
+	started  time.Duration // time of the last start sent
 	tries    int           // starts or stops sent
 	active   time.Duration // since when it is known to run
 	saved    string        // last reported checkpoint
--- a/job/report.go
+++ b/job/report.go
@@ -95,14 +95,22 @@
 		p.seenRunning(w, rt, now)
 	}
 	for _, r := range w.sortedRuns() {
-		// A start without a confirmation may still be on its way, and an earlier report does not know of it.
-		if seen[r.task.id] || r.active == 0 || r.active >= rep.SentAt {
+		if seen[r.task.id] || rep.SentAt <= p.settledAt(r) {
 			continue
 		}
 		p.loseRun(r, "not reported", now)
 	}
 }
 
+// settledAt returns the moment from which a report tells whether a run exists. A start without a confirmation may still be on
+// its way until its lease has expired.
+func (p *Pool) settledAt(r *run) time.Duration {
+	if r.active > 0 {
+		return r.active
+	}
+	return r.started + p.cfg.MaxLease
+}
+
 // seenRunning applies one running task of a report.
 func (p *Pool) seenRunning(w *worker, rt RunningTask, now Time) {
 	r := w.runs[rt.Task]
