--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -203,7 +203,7 @@
 			result = job.ResultRefused
 			defer l.pool.Gone(l.worker, now)
 		}
-		if err == nil && result != job.ResultNoAnswer {
+		if err == nil && fromWorker(result) {
 			l.answered = now.Steady
 		}
 		switch o.Kind {
@@ -216,6 +216,9 @@
 	})
 }
 
+// fromWorker tells whether a result proves that the worker lives. A refusal may be that of an address at which nothing listens.
+func fromWorker(r job.Result) bool { return r != job.ResultNoAnswer && r != job.ResultRefused }
+
 // pause waits for d or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
