--- a/job/record.go
+++ b/job/record.go
@@ -82,8 +82,6 @@
 	Labels   []string  `cbor:"5,keyasint,omitempty"`
 	Capacity Resources `cbor:"6,keyasint"`
 	Draining bool      `cbor:"7,keyasint,omitempty"`
-	// Guards states that the worker itself refuses tasks for which it has no room.
-	Guards bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Time is a moment on two clocks.
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -62,6 +62,12 @@
 	return d, nil
 }
 
+// Ready tells whether the node serves callers.
+func (d *Daemon) Ready() bool { return d.node.Ready() }
+
+// Owns tells whether the node schedules a pool.
+func (d *Daemon) Owns(pool string) bool { return d.node.Owns(pool) }
+
 // Stop hands the node's shards over, passes requests on for a while, and ends when nothing is in flight.
 func (d *Daemon) Stop() {
 	d.log.Event(jobmanager.LogEvent{Part: "node", What: "stopping"})
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -80,18 +80,14 @@
 type PoolConfig struct {
 	Name    string
 	Standby bool // its machines are off until they move to another pool
-	Guards  bool // its workers refuse what they have no room for
 }
 
 // Config is a version of the operators' configuration.
 type Config struct {
-	Version        int64
-	Routes         []Route
-	Pools          []PoolConfig
-	MaxBodyBytes   int64
-	MaxHeaderBytes int
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	Version      int64
+	Routes       []Route
+	Pools        []PoolConfig
+	MaxBodyBytes int64 // of a request; 0 sets no bound
 }
 
 // OperatorChange is what operators declared since the last change.
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -99,6 +99,7 @@
 func (n *Node) pass(ctx context.Context, kind string, c call) (reply, error) {
 	shard := n.shardOf(c.Pool)
 	begin := n.clock.Now().Steady
+	defer func() { n.metrics.callLatency.Update((n.clock.Now().Steady - begin).Microseconds()) }()
 	uncertain := false
 	for {
 		r := n.attempt(ctx, shard, kind, c)
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -345,17 +345,9 @@
 	if !changed && old.version > 0 {
 		return
 	}
-	guards := make(map[string]bool)
-	if c := n.config.Load(); c != nil {
-		for _, p := range c.Pools {
-			guards[p.Name] = p.Guards
-		}
-	}
 	v := &directoryView{version: old.version + 1, byPool: make(map[string][]job.WorkerInfo)}
 	for _, e := range entries {
-		info := e.Info
-		info.Guards = guards[e.Pool]
-		v.byPool[e.Pool] = append(v.byPool[e.Pool], info)
+		v.byPool[e.Pool] = append(v.byPool[e.Pool], e.Info)
 	}
 	n.entries.Store(v)
 }
