--- a/fleet/move.go
+++ b/fleet/move.go
@@ -18,8 +18,8 @@
 	demandWindow = 2 * time.Second
 	// minPool is the least size of a pool.
 	minPool = 3
-	// maxPool is the greatest size to which a pool is filled. The owner of a pool keeps in touch with each worker; on a node
-	// with a fifth of a core it could not extend the leases of 166 workers in a flood.
+	// maxPool is the greatest size to which a pool is filled, because its one owner keeps in touch with each worker. The design
+	// size is 10,000 workers in 34 pools.
 	maxPool = 300
 	// stayFor is how long a machine stays in a pool before it is given away again.
 	stayFor = 2500 * time.Millisecond
