--- a/job/job_test.go
+++ b/job/job_test.go
@@ -55,7 +55,7 @@
 
 // tick advances the time a little, lets the pool decide and returns its orders.
 func (tp *testPool) tick() []Order {
-	tp.advance(upkeepEvery)
+	tp.advance(housekeepingEvery)
 	tp.Tick(tp.now)
 	return tp.TakeOrders()
 }
--- a/job/pool.go
+++ b/job/pool.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// upkeepEvery is the time between looks for what is due by time. It is small against the time bounds of orders and leases.
-const upkeepEvery = 40 * time.Millisecond
+// housekeepingEvery is the time between looks for what is due by time. It is small against the time bounds of orders and leases.
+const housekeepingEvery = 40 * time.Millisecond
 
 // Config holds the bounds of a Pool.
 type Config struct {
@@ -34,7 +34,7 @@
 	dirty   map[string]*jobState
 	// workerRecords holds changes of the stored set of workers.
 	workerRecords  map[string]Record
-	upkeepAt       time.Duration // time of the last upkeep
+	housekeepingAt time.Duration // time of the last housekeeping
 	committing     bool
 	endsPending    bool // ends of tasks of unknown jobs wait for being forgotten
 	begin          Time
@@ -274,15 +274,15 @@
 // Tick advances the pool: at times it opens due occurrences, ends runs on workers whose lease has expired, repeats orders,
 // schedules waiting tasks and forgets old jobs.
 func (p *Pool) Tick(now Time) {
-	if now.Steady-p.upkeepAt >= upkeepEvery {
-		p.upkeepAt = now.Steady
-		p.upkeep(now)
+	if now.Steady-p.housekeepingAt >= housekeepingEvery {
+		p.housekeepingAt = now.Steady
+		p.housekeeping(now)
 	}
 	p.schedule(now)
 }
 
-// upkeep does what is due by time rather than by events.
-func (p *Pool) upkeep(now Time) {
+// housekeeping does what is due by time rather than by events.
+func (p *Pool) housekeeping(now Time) {
 	p.expire(now)
 	for id, j := range p.jobs {
 		p.tickJob(id, j, now)
