Count the machines that an earlier controller took down against a wave's cap

Ruled out: a late order of the old controller, which ends before its release. Change: machines of the wave that are listed as in maintenance count. Before: the new test fails; after: it passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -353,11 +353,14 @@
 	return c.empty(m) && c.undisturbed(m, now)
 }
 
-// down counts the machines that are down, or may be, for a wave.
+// down counts the machines that are down, or may be, for a wave. Those that an earlier controller ordered are listed as in
+// maintenance.
 func (c *Controller) down(wave int64) int {
 	n := 0
-	for _, op := range c.ops {
-		if op.order.Kind == OrderMaintenance && op.order.Wave == wave && op.ordered > 0 {
+	for _, host := range c.waves[wave].wave.Hosts {
+		op := c.ops[host]
+		ordered := op != nil && op.order.Kind == OrderMaintenance && op.order.Wave == wave && op.ordered > 0
+		if ordered || c.machines[host].State == Maintenance {
 			n++
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -255,3 +255,23 @@
 		t.Errorf("no machine was ordered within a second: %v", first)
 	}
 }
+
+// TestNewControllerCountsMachinesThatAreDown guards against more machines in maintenance than the wave permits when the
+// controller changes: the new one counted only the machines that it had ordered itself.
+func TestNewControllerCountsMachinesThatAreDown(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 8, "spare": 4})
+	w.load("a", 1, 0)
+	w.waves = []Wave{{Number: 3, Hosts: []string{"a0", "a1", "spare0", "spare1", "spare2", "spare3"}, Deadline: time.Second, Cap: 2}}
+	for i := range w.machines {
+		if h := w.machines[i].Host; h == "a0" || h == "spare0" {
+			w.machines[i].State = Maintenance
+		}
+	}
+	for range 5 {
+		for _, o := range w.round().Orders {
+			if o.Kind == OrderMaintenance {
+				t.Fatalf("%s is taken down beside 2 others", o.Host)
+			}
+		}
+	}
+}
