Count stops of the earlier owner against a lasting step's budget

Ruled out: a machine taken down under the task (the end is a stop ordered by the owner). Change: for the time of an order and of the longest stop after its takeover, an owner counts adopted tasks as about to end, so it stops no other task of their step. The longest stop comes from the settings. Before: the new test fails (stop 0 s after the takeover); after: it passes.

--- a/job/evacuate.go
+++ b/job/evacuate.go
@@ -67,17 +67,24 @@
 	}
 	away := 0
 	for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
-		if m != t && !m.atWork(now) {
+		if m != t && !p.atWork(m, now) {
 			away++
 		}
 	}
 	return away < t.step.MissBudget
 }
 
-// atWork tells whether a lasting task serves, as far as its worker reported recently.
-func (t *task) atWork(now Time) bool {
+// atWork tells whether a lasting task serves, as far as its worker reported recently, and no stop of an earlier owner may
+// be on its way.
+func (p *Pool) atWork(t *task, now Time) bool {
 	r := t.run
-	return r != nil && r.state == runActive && r.progress >= atWorkProgress && now.Steady-r.worker.lastLook < answerWithin
+	if r == nil || r.state != runActive || r.progress < atWorkProgress {
+		return false
+	}
+	if r.adopted && now.Steady-r.active < p.cfg.InheritedStops {
+		return false
+	}
+	return now.Steady-r.worker.lastLook < answerWithin
 }
 
 // roomElsewhere tells whether another worker could take the task of a run.
--- a/job/pool.go
+++ b/job/pool.go
@@ -19,6 +19,8 @@
 	MaxLease time.Duration
 	// InheritedLease is how long after the takeover a worker that could not be looked at may keep tasks of an earlier owner.
 	InheritedLease time.Duration
+	// InheritedStops is how long after the takeover a stop that an earlier owner ordered may take until the run has ended.
+	InheritedStops time.Duration
 	// KeepFinished is how long the state of a finished job stays known.
 	KeepFinished time.Duration
 	// RackFactor is how much longer a task takes away from its data.
@@ -68,6 +70,7 @@
 	progress int           // last reported progress in percent
 	share    int           // percentage at which the task may work, as last ordered
 	usage    int64         // last reported use, or tail latency in milliseconds
+	adopted  bool          // started by an earlier owner
 }
 
 // task is one unit of work.
--- a/job/report.go
+++ b/job/report.go
@@ -136,6 +136,7 @@
 	}
 	r = p.attach(t, w, rt.Run, runActive, now)
 	r.active = now.Steady
+	r.adopted = true
 	r.share = adoptedShare
 	r.saved, r.progress, r.usage = rt.Saved, rt.Progress, rt.Usage
 }
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -52,3 +52,60 @@
 		t.Fatalf("%d starts after worker old was gone, want 1", len(s))
 	}
 }
+
+// successor returns the pool of a later owner with a lasting job whose tasks run on workers a to e, as the reports of those
+// workers tell it.
+func successor(t *testing.T, s *Spec) *testPool {
+	t.Helper()
+	s.Pool, s.Queue, s.Attempts = "pool", "queue", 2
+	loaded := Decode([]Record{{Key: keySpec + s.ID, Value: encode(specRecord{Phase: Active, Spec: s})}})
+	now := Time{Steady: time.Hour, WallMs: 1_000_000}
+	p := &testPool{t: t, now: now, Pool: New(Config{
+		Pool: "pool", RunBase: 65, MaxLease: 5 * time.Second, InheritedLease: 7 * time.Second,
+		KeepFinished: time.Minute, RackFactor: 2, InheritedStops: inheritedStops,
+	}, now)}
+	p.Restore(loaded, now)
+	var infos []WorkerInfo
+	for _, id := range workerNames {
+		infos = append(infos, WorkerInfo{ID: id, Capacity: Resources{CPU: 4000, MemMB: 4000}})
+	}
+	p.Directory(infos, now)
+	return p
+}
+
+const inheritedStops = 1600 * time.Millisecond
+
+var workerNames = []string{"a", "b", "c", "d", "e"}
+
+// reportLasting reports that each task of a job is at work, task 0 on worker a and so on.
+func (tp *testPool) reportLasting(s *Spec) {
+	for i, w := range workerNames {
+		if i < s.Steps[0].Count {
+			tp.report(w, RunningTask{Task: TaskID{Job: s.ID, Index: i}, Run: 1, Progress: 100})
+		} else {
+			tp.report(w)
+		}
+	}
+	tp.commit()
+}
+
+// TestSuccessorCountsStopsOfItsPredecessor guards against more tasks away than the budget of a lasting step permits: a task
+// that the earlier owner stopped still runs when the new owner looks, which then stopped another one.
+func TestSuccessorCountsStopsOfItsPredecessor(t *testing.T) {
+	s := lasting("x", 4, 1)
+	p := successor(t, s)
+	p.reportLasting(s)
+	p.Evacuate([]string{"b"})
+	for elapsed := time.Duration(0); elapsed < inheritedStops-100*time.Millisecond; elapsed += 100 * time.Millisecond {
+		p.advance(60 * time.Millisecond)
+		if stopped := stops(p.tick()); len(stopped) != 0 {
+			t.Fatalf("stopped %+v %v after the takeover", stopped, elapsed)
+		}
+		p.reportLasting(s)
+	}
+	p.advance(200 * time.Millisecond)
+	p.reportLasting(s)
+	if stopped := stops(p.tick()); len(stopped) != 1 {
+		t.Fatalf("%d stops after orders of the earlier owner have ended, want 1", len(stopped))
+	}
+}
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -41,6 +41,7 @@
 	GraceS       float64 `json:"graceS"`       // from SIGTERM to SIGKILL
 	StatusS      float64 `json:"statusS"`      // how long the state of a finished job stays known
 	RackFactor   float64 `json:"rackFactor"`   // run time away from the data, as a multiple
+	StopMs       int64   `json:"stopMs"`       // longest time that a worker takes to stop a task
 	OrderLeaseMs int64   `json:"orderLeaseMs"` // least time between orders of two holders for one machine
 	CallBytes    int     `json:"callBytes"`    // of one append
 	RecordBytes  int     `json:"recordBytes"`
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -272,6 +272,7 @@
 		RunBase:        1 + int(s.epoch-1)*runsPerEpoch,
 		MaxLease:       lease,
 		InheritedLease: membershipTTL + lease,
+		InheritedStops: orderTimeout + time.Duration(b.StopMs)*time.Millisecond,
 		KeepFinished:   time.Duration(b.StatusS * float64(time.Second)),
 		RackFactor:     b.RackFactor,
 	}, now)
