Leave workers that a new owner finds empty to the fleet controller

Cause: an owner reports a worker as empty, its shard changes hands, and the new owner starts a task there while the fleet controller's order for the machine is on its way; the order then ends the task. Before: the new test fails; after: it passes.

--- a/job/evacuate.go
+++ b/job/evacuate.go
@@ -21,8 +21,10 @@
 // Evacuate sets the workers that are evacuated before planned maintenance. Lasting tasks move within their budgets,
 // checkpointable ones move at once, and others are left to end.
 func (p *Pool) Evacuate(ids []string) {
+	p.fleetHeard = true
 	for _, w := range p.workers {
 		w.evacuating = slices.Contains(ids, w.info.ID)
+		w.heldUntil = 0
 	}
 }
 
--- a/job/pool.go
+++ b/job/pool.go
@@ -21,6 +21,9 @@
 	InheritedLease time.Duration
 	// InheritedStops is how long after the takeover a stop that an earlier owner ordered may take until the run has ended.
 	InheritedStops time.Duration
+	// FleetWait is how long after the takeover an order of the fleet controller for a machine that the earlier owner reported
+	// as empty may take effect. Zero means that there was no earlier owner.
+	FleetWait time.Duration
 	// KeepFinished is how long the state of a finished job stays known.
 	KeepFinished time.Duration
 	// RackFactor is how much longer a task takes away from its data.
@@ -38,6 +41,7 @@
 	workerRecords  map[string]Record
 	housekeepingAt time.Duration // time of the last housekeeping
 	committing     bool
+	fleetHeard     bool // the fleet controller has told which workers it wants empty
 	endsPending    bool // ends of tasks of unknown jobs wait for being forgotten
 	begin          Time
 	estimates      estimates
--- a/job/report.go
+++ b/job/report.go
@@ -66,6 +66,7 @@
 	w.born = rep.Born
 	if !w.looked {
 		p.event(Event{Kind: "worker adopted", Worker: w.info.ID, Count: len(rep.Running)})
+		p.holdEmpty(w, len(rep.Running))
 	}
 	w.looked = true
 	p.register(w)
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -62,7 +62,7 @@
 	now := Time{Steady: time.Hour, WallMs: 1_000_000}
 	p := &testPool{t: t, now: now, Pool: New(Config{
 		Pool: "pool", RunBase: 65, MaxLease: 5 * time.Second, InheritedLease: 7 * time.Second,
-		KeepFinished: time.Minute, RackFactor: 2, InheritedStops: inheritedStops,
+		KeepFinished: time.Minute, RackFactor: 2, InheritedStops: inheritedStops, FleetWait: fleetWait,
 	}, now)}
 	p.Restore(loaded, now)
 	var infos []WorkerInfo
@@ -73,7 +73,10 @@
 	return p
 }
 
-const inheritedStops = 1600 * time.Millisecond
+const (
+	inheritedStops = 1600 * time.Millisecond
+	fleetWait      = 1500 * time.Millisecond
+)
 
 var workerNames = []string{"a", "b", "c", "d", "e"}
 
@@ -109,3 +112,37 @@
 		t.Fatalf("%d stops after orders of the earlier owner have ended, want 1", len(stopped))
 	}
 }
+
+// TestSuccessorLeavesEmptyWorkersToFleetController guards against tasks started on a worker that the earlier owner reported as
+// empty: the fleet controller's order for its machine may be on its way.
+func TestSuccessorLeavesEmptyWorkersToFleetController(t *testing.T) {
+	s := lasting("x", 4, 1)
+	s.Steps[0].MaxPerWorker = 0
+	p := successor(t, s)
+	p.reportLasting(s)
+	p.submit(oneStep("y", 1, 4000))
+	if s := starts(p.tick()); len(s) != 0 {
+		t.Fatalf("started %+v on a worker that was empty at the takeover", s)
+	}
+	p.Evacuate([]string{"e"})
+	if s := starts(p.tick()); len(s) != 0 {
+		t.Fatalf("started %+v on a worker that is evacuated", s)
+	}
+	p.Evacuate(nil)
+	if s := starts(p.tick()); len(s) != 1 || s[0].Worker != "e" {
+		t.Fatalf("started %+v after the fleet controller left the worker alone, want one task on it", s)
+	}
+}
+
+// TestSuccessorWaitsForFleetControllerNotForLong guards against workers that stay unused while there is no fleet controller.
+func TestSuccessorWaitsForFleetControllerNotForLong(t *testing.T) {
+	s := lasting("x", 4, 1)
+	p := successor(t, s)
+	p.reportLasting(s)
+	p.submit(oneStep("y", 1, 4000))
+	p.advance(fleetWait)
+	p.reportLasting(s)
+	if s := starts(p.tick()); len(s) != 1 {
+		t.Fatalf("%d starts after the wait, want 1", len(s))
+	}
+}
--- a/job/worker.go
+++ b/job/worker.go
@@ -41,9 +41,11 @@
 	failures             int // in a row
 	failedJob            string
 	distrusted           time.Duration // gets no tasks before
-	leaving              bool
-	evacuating           bool
-	paced                time.Duration // last change of a share
+	// heldUntil is until when an empty worker gets no tasks because its machine may be about to be taken away.
+	heldUntil  time.Duration
+	leaving    bool
+	evacuating bool
+	paced      time.Duration // last change of a share
 }
 
 // addWorker adds a worker that the owner has not looked at.
@@ -241,7 +243,15 @@
 // usable tells whether a worker may get a start.
 func (w *worker) usable(now Time) bool {
 	return w.listed && w.looked && w.registered == w.born && len(w.strays) == 0 && !w.info.Draining && !w.leaving && !w.evacuating &&
-		now.Steady >= w.distrusted && now.Steady-w.lastLook < answerWithin
+		now.Steady >= w.distrusted && now.Steady >= w.heldUntil && now.Steady-w.lastLook < answerWithin
+}
+
+// holdEmpty keeps a worker without tasks that was found by the first report free until the fleet controller was heard, because
+// the earlier owner may have reported it as empty.
+func (p *Pool) holdEmpty(w *worker, running int) {
+	if running == 0 && !p.fleetHeard {
+		w.heldUntil = p.begin.Steady + p.cfg.FleetWait
+	}
 }
 
 // free returns the room on a worker.
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -171,6 +171,7 @@
 			defer cancel()
 			r := f.node.attempt(ctx, f.node.shardOf(pool), typeFleet, call{Pool: pool, Evacuate: evacuate})
 			if r.Code != codeOK || r.Load == nil {
+				f.node.wake(f.node.refreshOwners)
 				return
 			}
 			mu.Lock()
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -267,12 +267,17 @@
 	}
 	b := s.node.settings.Bounds
 	lease := time.Duration(float64(b.maxLease())*driftFactor) + orderTimeout
+	fleetWait := time.Duration(0)
+	if s.epoch > 1 {
+		fleetWait = fleetEvery + loadTimeout + machineTimeout
+	}
 	p := job.New(job.Config{
 		Pool:           name,
 		RunBase:        1 + int(s.epoch-1)*runsPerEpoch,
 		MaxLease:       lease,
 		InheritedLease: membershipTTL + lease,
 		InheritedStops: orderTimeout + time.Duration(b.StopMs)*time.Millisecond,
+		FleetWait:      fleetWait,
 		KeepFinished:   time.Duration(b.StatusS * float64(time.Second)),
 		RackFactor:     b.RackFactor,
 	}, now)
