--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -1,6 +1,7 @@
 package jobmanager
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -399,7 +400,7 @@
 
 // memberName returns the name of a node in the group: NODE@ADDRESS, with weakSuffix if the node is not strong.
 func memberName(s *Settings) string {
-	name := fmt.Sprintf("%s@%s", s.Node, s.Peers)
+	name := fmt.Sprintf("%s@%s", s.Node, cmp.Or(s.Advertise, s.Peers))
 	if !s.strong() {
 		name += weakSuffix
 	}
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -20,6 +20,8 @@
 	Readiness string `json:"readiness"`
 	Peers     string `json:"peers"`
 	Admin     string `json:"admin"`
+	// Advertise is the address at which other nodes reach Peers, if it is another one.
+	Advertise string `json:"advertise"`
 	// PeerKey authenticates the nodes to each other.
 	PeerKey string `json:"peerKey"`
 	// Store, Machines and Advice are addresses of the platform. Advice is empty where no queue needs it.
@@ -83,6 +85,9 @@
 			return errors.Errorf("%s: %q is not an address of the form IP:PORT", a.key, a.value)
 		}
 	}
+	if _, _, err := net.SplitHostPort(s.Advertise); s.Advertise != "" && err != nil {
+		return errors.Errorf("advertise: %q is not an address of the form IP:PORT", s.Advertise)
+	}
 	switch {
 	case s.Shards < 1:
 		return errors.Errorf("shards: must be at least 1, not %d", s.Shards)
