Do not tell a restarted worker to forget ends of its new life

The worker forgets the end of a run before its owner saw it, and the task runs again. Ruled out: the order of reports (the first report of the new life arrives after the request that forgets). The model of the job core forgave this: it compared lives, which no worker does. Change: the model forgets by number alone, and restarts take time; an owner names the number only within 300 ms after a report and after no request failed.

--- a/job/attempts_test.go
+++ b/job/attempts_test.go
@@ -54,3 +54,25 @@
 		t.Fatalf("state %q after the second failed run, want %q", got, StateFailed)
 	}
 }
+
+// TestEndsOfNextLifeAreNotForgotten guards against a worker that is told to forget ends which its owner has not seen: it had
+// restarted under its name, and its ends were numbered anew (soak seed 19: a task ran twice).
+func TestEndsOfNextLifeAreNotForgotten(t *testing.T) {
+	p := newTestPool(t, "w")
+	p.submit(oneStep("x", 2, 1000))
+	orders := starts(p.tick())
+	p.ends("w", EndedTask{Number: 4, Task: orders[0].Task, Run: orders[0].Run, How: EndDone})
+	p.commit()
+	if s, _ := p.Status("w", p.now); s.StableEnd != 4 {
+		t.Fatalf("the worker may forget ends up to %d, want 4", s.StableEnd)
+	}
+	p.NoReport("w")
+	if s, _ := p.Status("w", p.now); s.StableEnd != 0 {
+		t.Fatalf("after a request without an answer the worker may forget ends up to %d, want none", s.StableEnd)
+	}
+	p.report("w")
+	p.advance(restartTime)
+	if s, _ := p.Status("w", p.now); s.StableEnd != 0 {
+		t.Fatalf("%v after a report the worker may forget ends up to %d, want none", restartTime, s.StableEnd)
+	}
+}
--- a/job/model_test.go
+++ b/job/model_test.go
@@ -26,6 +26,8 @@
 	modelTTL     = 2 * time.Second
 	modelFaults  = 12 * time.Second // faults end
 	modelHorizon = 45 * time.Second // all jobs have ended
+	modelTimeout = 300 * time.Millisecond
+	modelRestart = 600 * time.Millisecond // from the crash of a worker to its next life
 )
 
 // modelRun is a run at a worker.
@@ -45,6 +47,7 @@
 	id       string
 	born     int64
 	dark     bool
+	down     time.Duration // until when it restarts
 	fence    int64
 	expires  time.Duration
 	running  map[TaskID]*modelRun
@@ -61,6 +64,7 @@
 	confirmed time.Duration // may order until
 	answered  map[string]time.Duration
 	nextHold  map[string]time.Duration
+	held      map[string]time.Duration // begin of the request that has no answer
 }
 
 // message is an order or report on its way.
@@ -106,6 +110,9 @@
 	m.errs = append(m.errs, fmt.Sprintf("%v: ", m.now.Steady-time.Hour)+fmt.Sprintf(format, args...))
 }
 
+// gone tells whether a worker receives nothing.
+func (w *modelWorker) gone(now Time) bool { return w.dark || now.Steady < w.down }
+
 func (m *model) rebirth(w *modelWorker) {
 	w.born++
 	w.fence, w.expires, w.number = 0, 0, 0
@@ -123,6 +130,7 @@
 	lease := modelLease + modelLease/30
 	o := &modelOwner{
 		epoch: m.epoch, answered: make(map[string]time.Duration), nextHold: make(map[string]time.Duration),
+		held: make(map[string]time.Duration),
 		pool: New(Config{
 			Pool: "pool", RunBase: 1 + int(m.epoch-1)*64, MaxLease: lease, InheritedLease: modelTTL + lease,
 			KeepFinished: time.Minute, RackFactor: 2,
@@ -201,6 +209,7 @@
 			w.dark = !w.dark
 		case m.chance(0.001):
 			m.rebirth(w)
+			w.down = m.now.Steady + modelRestart
 		}
 		if !m.faulty() {
 			w.dark = false
@@ -248,7 +257,11 @@
 	}
 	m.commit(o)
 	for _, w := range m.workers {
-		if m.now.Steady >= o.nextHold[w.id] {
+		if begun := o.held[w.id]; begun != 0 && m.now.Steady-begun > modelTimeout {
+			o.held[w.id] = 0
+			o.pool.NoReport(w.id)
+		}
+		if m.now.Steady >= o.nextHold[w.id] && o.held[w.id] == 0 {
 			o.nextHold[w.id] = m.now.Steady + 200*time.Millisecond
 			m.hold(o, w)
 		}
@@ -279,7 +292,7 @@
 	expires := m.now.Steady + modelLease
 	born := w.born
 	m.send(func() {
-		if w.dark || w.born != born {
+		if w.gone(m.now) || w.born != born {
 			return
 		}
 		result, fenced := m.carryOut(o, w, order, expires)
@@ -297,7 +310,7 @@
 }
 
 func (m *model) hold(o *modelOwner, w *modelWorker) {
-	status, ok := o.pool.Status(w.id)
+	status, ok := o.pool.Status(w.id, m.now)
 	if !ok {
 		return
 	}
@@ -307,9 +320,12 @@
 		o.pool.Extended(w.id, m.now)
 	}
 	sent, born := m.now.Steady, w.born
-	statusBorn := status.Born
+	o.held[w.id] = sent
+	if w.gone(m.now) {
+		return // no connection
+	}
 	m.send(func() {
-		if w.dark || w.born != born {
+		if w.gone(m.now) || w.born != born {
 			return
 		}
 		if o.epoch < w.fence {
@@ -318,11 +334,13 @@
 		}
 		w.fence = o.epoch
 		w.expires = max(w.expires, expires)
-		if statusBorn == w.born {
-			m.note(w, status.StableEnd)
-		}
+		m.note(w, status.StableEnd)
 		rep := w.report(sent)
 		m.send(func() {
+			if o.held[w.id] != sent {
+				return // timed out
+			}
+			o.held[w.id] = 0
 			o.answered[w.id] = m.now.Steady
 			o.pool.Report(rep, m.now)
 		})
--- a/job/report.go
+++ b/job/report.go
@@ -69,6 +69,7 @@
 		p.holdEmpty(w, len(rep.Running))
 	}
 	w.looked = true
+	w.endsUntil = now.Steady + restartTime
 	p.register(w)
 	w.lastLook = max(w.lastLook, rep.SentAt)
 	w.leaving = w.leaving || rep.Leaving
--- a/job/worker.go
+++ b/job/worker.go
@@ -14,6 +14,8 @@
 	distrustFor = 3 * time.Second
 	// refusedPause is how long a worker that refused a start gets no tasks.
 	refusedPause = 400 * time.Millisecond
+	// restartTime is less than the time from a worker's crash until it may answer in its next life.
+	restartTime = 300 * time.Millisecond
 	// answerWithin is how recently a worker must have answered to get a start. Reports come at least each 1.5 s.
 	answerWithin = 2500 * time.Millisecond
 )
@@ -38,9 +40,11 @@
 	strays map[TaskID]int
 	// processed is the greatest number of an end that was applied, stableEnd that of one that is also stored.
 	processed, stableEnd int64
-	failures             int // in a row
-	failedJob            string
-	distrusted           time.Duration // gets no tasks before
+	// endsUntil is until when stableEnd certainly counts ends of the life that runs now.
+	endsUntil  time.Duration
+	failures   int // in a row
+	failedJob  string
+	distrusted time.Duration // gets no tasks before
 	// heldUntil is until when an empty worker gets no tasks because its machine may be about to be taken away.
 	heldUntil  time.Duration
 	leaving    bool
@@ -260,7 +264,8 @@
 // WorkerStatus is what the owner's links need to know of a worker.
 type WorkerStatus struct {
 	Info WorkerInfo
-	// StableEnd is the number up to which the worker may forget ends.
+	// StableEnd is the number up to which the worker may forget ends. It is 0 while the worker may have restarted since its
+	// last report.
 	StableEnd int64
 	Born      int64
 	// Wanted states that the worker's lease shall be extended.
@@ -271,7 +276,7 @@
 func (p *Pool) Workers() []WorkerStatus {
 	var out []WorkerStatus
 	for _, w := range p.sortedWorkers() {
-		out = append(out, WorkerStatus{Info: w.info, StableEnd: w.stableEnd, Born: w.born, Wanted: len(w.runs) > 0})
+		out = append(out, WorkerStatus{Info: w.info, Born: w.born, Wanted: len(w.runs) > 0})
 	}
 	return out
 }
@@ -282,11 +287,23 @@
 	return w == nil || w.processed == w.stableEnd
 }
 
-// Status returns the status of one worker.
-func (p *Pool) Status(id string) (WorkerStatus, bool) {
+// NoReport records that a request for a report had no answer. The worker may have restarted under its name, so that the
+// numbers of its ends began anew.
+func (p *Pool) NoReport(id string) {
+	if w := p.workers[id]; w != nil {
+		w.endsUntil = 0
+	}
+}
+
+// Status returns the status of one worker for the next request for a report.
+func (p *Pool) Status(id string, now Time) (WorkerStatus, bool) {
 	w := p.workers[id]
 	if w == nil {
 		return WorkerStatus{}, false
 	}
-	return WorkerStatus{Info: w.info, StableEnd: w.stableEnd, Born: w.born, Wanted: len(w.runs) > 0}, true
+	s := WorkerStatus{Info: w.info, Born: w.born, Wanted: len(w.runs) > 0}
+	if now.Steady < w.endsUntil {
+		s.StableEnd = w.stableEnd
+	}
+	return s, true
 }
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -62,7 +62,7 @@
 
 // request prepares the next hold. The second result is false when the worker is not to be held any more.
 func (l *link) request(now job.Time) (HoldRequest, Target, bool) {
-	status, ok := l.pool.Status(l.worker)
+	status, ok := l.pool.Status(l.worker, now)
 	if !ok {
 		return HoldRequest{}, Target{}, false
 	}
@@ -107,6 +107,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, req.Wait+reportTimeout)
 	reply, err := l.shard.node.workers.Hold(callCtx, target, req)
 	cancel()
+	if err != nil {
+		l.shard.call(ctx, func(job.Time) { l.pool.NoReport(l.worker) })
+	}
 	switch {
 	case err == nil:
 		reply.Report.SentAt = sent
