Let a new fleet controller order as soon as the earlier one has ended; late work gives way to work on time

Ruled out: a shorter wait without a proof, because orders of two controllers for one machine could cross. Change: the claim names the process; a new controller takes a restarted process for ended, asks the earlier owner, or sees in the store that it is out of the group. A pool's load tells late work apart; such work gets machines from standby only.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,9 +41,12 @@
 
 // Load is the state of a pool. Amounts are in machines.
 type Load struct {
-	Used    float64      `cbor:"1,keyasint,omitempty"` // taken by running tasks
-	Waiting float64      `cbor:"2,keyasint,omitempty"` // needed by tasks that could start now
-	Workers []WorkerLoad `cbor:"3,keyasint,omitempty"`
+	Used    float64 `cbor:"1,keyasint,omitempty"` // taken by running tasks
+	Waiting float64 `cbor:"2,keyasint,omitempty"` // needed by tasks that could start now, but for WaitingLate
+	// UsedLate is the part of Used that jobs take which miss their objective anyway, and WaitingLate what else they need.
+	UsedLate    float64      `cbor:"6,keyasint,omitempty"`
+	WaitingLate float64      `cbor:"7,keyasint,omitempty"`
+	Workers     []WorkerLoad `cbor:"3,keyasint,omitempty"`
 	// Labelled is the part of Waiting that needs workers with a label.
 	Labelled []LabelNeed `cbor:"5,keyasint,omitempty"`
 	// Least is how many machines the pool needs for tasks that may not share a worker.
@@ -127,7 +130,11 @@
 type Balance struct {
 	Pool string
 	Size int // machines, with those on their way here and without those on their way elsewhere
-	Need int
+	Need int // for lasting tasks and jobs that can meet their objective
+	// Share is the part of Need that the pool gets while all pools together need more machines than there are.
+	Share int
+	// Wish is what the pool needs with the jobs that miss their objective anyway. Only machines on standby serve the rest.
+	Wish int
 }
 
 // operation is a change of a machine that is under way.
@@ -183,6 +190,9 @@
 	}
 }
 
+// BeginAt brings the first order forward, when it is certain that the earlier controller orders nothing any more.
+func (c *Controller) BeginAt(begin time.Duration) { c.begin = min(c.begin, begin) }
+
 // Observe replaces what the controller sees.
 func (c *Controller) Observe(o Observation, now time.Duration) {
 	c.seen = o
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -275,3 +275,47 @@
 		}
 	}
 }
+
+// TestScarceMachinesAreShared guards against a pool that keeps almost all machines through its peak because it had them first,
+// while the customers of another pool, whose peak came later, are refused.
+func TestScarceMachinesAreShared(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 26, "b": 4, "spare": 2})
+	w.load("a", 26, 14)
+	w.load("b", 4, 28)
+	for range 60 {
+		w.round()
+		w.load("a", float64(w.size("a")), 40-float64(w.size("a")))
+		w.load("b", float64(w.size("b")), 32-float64(w.size("b")))
+	}
+	if a, b := w.size("a"), w.size("b"); b < 12 || a < 15 {
+		t.Fatalf("pools that need 40 and 32 of 32 machines have %d and %d", a, b)
+	}
+}
+
+// TestLateWorkGivesWay guards against machines that work off jobs whose callers get them too late anyway, while jobs in
+// another pool become late for want of machines.
+func TestLateWorkGivesWay(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 20, "b": 6, "spare": 0})
+	for range 40 {
+		size := float64(w.size("a"))
+		w.loads["a"] = Load{Used: size, UsedLate: size - 1, WaitingLate: 30}
+		w.load("b", float64(w.size("b")), 16-float64(w.size("b")))
+		w.round()
+	}
+	if got := w.size("b"); got < 16 {
+		t.Fatalf("pool b has %d machines for work that can be on time, want 16", got)
+	}
+}
+
+// TestLateWorkTakesMachinesOnStandby guards against accepted work that waits although machines are free.
+func TestLateWorkTakesMachinesOnStandby(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 4, "b": 4, "spare": 8})
+	w.loads["a"] = Load{Used: 4, UsedLate: 4, WaitingLate: 10}
+	w.load("b", 1, 0)
+	for range 20 {
+		w.round()
+	}
+	if got := w.size("a"); got < 10 {
+		t.Fatalf("pool a has %d machines while 8 were on standby, want at least 10", got)
+	}
+}
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -39,17 +39,22 @@
 	}
 	balances := c.balances()
 	lacking := make([]*Balance, 0, len(balances))
+	c.share(balances)
 	for _, b := range balances {
-		if b.Need > b.Size {
+		if b.Share > b.Size {
 			lacking = append(lacking, b)
 		}
 	}
 	slices.SortFunc(lacking, func(a, b *Balance) int {
-		return cmp.Or(cmp.Compare(b.Need-b.Size, a.Need-a.Size), cmp.Compare(a.Pool, b.Pool))
+		return cmp.Or(cmp.Compare(b.Share-b.Size, a.Share-a.Size), cmp.Compare(a.Pool, b.Pool))
 	})
 	c.fillLabels(balances, now)
 	for _, b := range lacking {
-		c.fill(b, balances, now)
+		c.fill(b, b.Share, c.spare(balances, now), balances, now)
+	}
+	for _, pool := range slices.Sorted(maps.Keys(balances)) {
+		b := balances[pool]
+		c.fill(b, b.Wish, c.standby(), balances, now)
 	}
 	c.park(balances, now)
 	for _, pool := range slices.Sorted(maps.Keys(balances)) {
@@ -65,7 +70,9 @@
 			continue
 		}
 		need := int(c.forecast(pool, load)/targetUse) + c.part(reserveShare)
-		out[pool] = &Balance{Pool: pool, Need: min(maxPool, max(minPool, load.Least, need))}
+		b := &Balance{Pool: pool, Need: min(maxPool, max(minPool, load.Least, need))}
+		b.Wish = min(maxPool, b.Need+int((load.UsedLate+load.WaitingLate)/targetUse))
+		out[pool] = b
 	}
 	for _, m := range c.seen.Machines {
 		pool := m.Pool
@@ -80,6 +87,24 @@
 	return out
 }
 
+// share divides the machines among the pools in proportion to their needs when all together need more than there are.
+//
+// It answers peaks that overlap: the pool whose peak came first has the machines, and the other one would get none until that
+// peak is over.
+func (c *Controller) share(balances map[string]*Balance) {
+	need, size := 0, len(c.standby())
+	for _, b := range balances {
+		need += b.Need
+		size += b.Size
+	}
+	for pool, b := range balances {
+		b.Share = b.Need
+		if need > size {
+			b.Share = max(min(b.Need, minPool), c.seen.Loads[pool].Least, b.Need*size/need)
+		}
+	}
+}
+
 // part returns a part of all machines, rounded up.
 func (c *Controller) part(share float64) int {
 	return int(math.Ceil(share * float64(len(c.seen.Machines))))
@@ -89,7 +114,7 @@
 //
 // It answers the rise of a peak: what is asked for now is too little by the time the machines are there.
 func (c *Controller) forecast(pool string, load Load) float64 {
-	demand := load.Used + load.Waiting
+	demand := load.demand()
 	past, ok := c.demand[pool]
 	if !ok {
 		return demand
@@ -98,10 +123,13 @@
 	return demand + rise
 }
 
+// demand returns what lasting tasks and jobs that can meet their objective need.
+func (l Load) demand() float64 { return l.Used - l.UsedLate + l.Waiting }
+
 // trackDemand keeps a moving average of what each pool needs.
 func (c *Controller) trackDemand(now time.Duration) {
 	for pool, load := range c.seen.Loads {
-		demand := load.Used + load.Waiting
+		demand := load.demand()
 		past, ok := c.demand[pool]
 		if !ok {
 			c.demand[pool] = demandAverage{average: demand, at: now}
@@ -118,31 +146,38 @@
 	at      time.Duration
 }
 
-// fill moves machines to a pool until it has what it needs or there are none to spare.
-func (c *Controller) fill(b *Balance, balances map[string]*Balance, now time.Duration) {
+// fill moves spare machines to a pool until it has the size that it should, or none is left.
+func (c *Controller) fill(b *Balance, size int, spare []Machine, balances map[string]*Balance, now time.Duration) {
 	moving := 0
 	for _, op := range c.ops {
 		if op.order.Kind == OrderMove && op.order.Pool == b.Pool {
 			moving++
 		}
 	}
-	for _, m := range c.spare(balances, now) {
-		if b.Size >= b.Need || moving >= c.part(movesShare) {
+	for _, m := range spare {
+		if b.Size >= size || moving >= c.part(movesShare) {
 			return
 		}
-		if m.Pool == b.Pool || c.mismatch[route{m.Pool, b.Pool}] {
-			continue
+		if c.give(m, b, balances, now) {
+			moving++
 		}
-		if donor := balances[m.Pool]; donor != nil {
-			if donor.Size <= donor.Need {
-				continue
-			}
-			donor.Size--
+	}
+}
+
+// give moves a machine to a pool, if the pool that has it keeps its share.
+func (c *Controller) give(m Machine, b *Balance, balances map[string]*Balance, now time.Duration) bool {
+	if m.Pool == b.Pool || c.mismatch[route{m.Pool, b.Pool}] || c.ops[m.Host] != nil {
+		return false
+	}
+	if donor := balances[m.Pool]; donor != nil {
+		if donor.Size <= donor.Share {
+			return false
 		}
-		b.Size++
-		moving++
-		c.move(m, b.Pool, now)
+		donor.Size--
 	}
+	b.Size++
+	c.move(m, b.Pool, now)
+	return true
 }
 
 // fillLabels moves machines to pools whose waiting tasks need a label. Other machines are of no use to such tasks, however
@@ -166,32 +201,19 @@
 		if missing <= 0 {
 			return
 		}
-		if !slices.Contains(m.Labels, need.Label) || m.Pool == b.Pool || c.mismatch[route{m.Pool, b.Pool}] {
-			continue
-		}
-		if donor := balances[m.Pool]; donor != nil {
-			if donor.Size <= donor.Need {
-				continue
-			}
-			donor.Size--
+		if slices.Contains(m.Labels, need.Label) && c.give(m, b, balances, now) {
+			missing--
 		}
-		b.Size++
-		missing--
-		c.move(m, b.Pool, now)
 	}
 }
 
 // spare returns the machines that can be given away, the best first: those on standby, then those that run least. Tasks
 // that run are left to end before a machine moves; machines with lasting tasks stay.
 func (c *Controller) spare(balances map[string]*Balance, now time.Duration) []Machine {
-	var standby, others []Machine
+	var others []Machine
 	effort := make(map[string]int)
 	for _, m := range c.sortedMachines() {
-		if m.State != Up || c.ops[m.Host] != nil {
-			continue
-		}
-		if c.pools[m.Pool].Standby {
-			standby = append(standby, m)
+		if m.State != Up || c.ops[m.Host] != nil || c.pools[m.Pool].Standby {
 			continue
 		}
 		w, ok := c.load(m)
@@ -202,7 +224,18 @@
 		others = append(others, m)
 	}
 	slices.SortStableFunc(others, func(a, b Machine) int { return cmp.Compare(effort[a.Host], effort[b.Host]) })
-	return append(standby, others...)
+	return append(c.standby(), others...)
+}
+
+// standby returns the machines on standby that are free.
+func (c *Controller) standby() []Machine {
+	var out []Machine
+	for _, m := range c.sortedMachines() {
+		if m.State == Up && c.ops[m.Host] == nil && c.pools[m.Pool].Standby {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 func (c *Controller) isIdle(m Machine) bool {
@@ -218,7 +251,7 @@
 	}
 	for _, m := range c.sortedMachines() {
 		b := balances[m.Pool]
-		if b == nil || m.State != Up || c.ops[m.Host] != nil || !c.isIdle(m) || b.Size <= b.Need {
+		if b == nil || m.State != Up || c.ops[m.Host] != nil || !c.isIdle(m) || b.Size <= b.Wish {
 			continue
 		}
 		since, idle := c.idle[m.Host]
--- a/job/load.go
+++ b/job/load.go
@@ -12,12 +12,14 @@
 	var l fleet.Load
 	capacity := p.machine()
 	for _, w := range p.sortedWorkers() {
-		l.Used += w.used.Share(capacity)
+		used := w.used.Share(capacity)
+		l.Used += used
+		l.UsedLate += used - w.used.Sub(w.usedLate()).Share(capacity)
 		l.Workers = append(l.Workers, fleet.WorkerLoad{
 			Worker: w.info.ID, AgeMs: now.WallMs - w.born, Runs: len(w.runs) + len(w.strays), Lasting: w.lasting(), Empty: p.Empty(w.info.ID),
 		})
 	}
-	l.Waiting, l.Labelled = p.waitingShare(capacity)
+	p.addWaiting(&l, capacity)
 	l.Least = p.leastWorkers()
 	return l
 }
@@ -49,31 +51,50 @@
 	return c
 }
 
-// waitingShare returns the room, in machines, that tasks need which could start now, and the part of it for each label that
-// workers must have.
-func (p *Pool) waitingShare(machine Resources) (float64, []fleet.LabelNeed) {
+// usedLate returns what jobs take that miss their objective anyway.
+func (w *worker) usedLate() Resources {
+	var late Resources
+	for _, r := range w.runs {
+		if o := r.task.job.occurrences[r.task.id.Occurrence]; o != nil && o.late {
+			late = late.Add(r.task.step.reserved())
+		}
+	}
+	return late
+}
+
+// addWaiting adds the room, in machines, that tasks need which could start now. The part for each label that workers must
+// have is given beside it.
+func (p *Pool) addWaiting(l *fleet.Load, machine Resources) {
 	requests := make(map[string]Resources)
+	late := Resources{}
 	for _, j := range p.jobs {
 		if j.phase != Active {
 			continue
 		}
 		for _, o := range j.occurrences {
-			o.addWaiting(requests)
+			o.addWaiting(func(s *Step) {
+				// What needs a label waits for ever unless machines with it come.
+				if o.late && s.Label == "" {
+					late = late.Add(s.reserved())
+				} else {
+					requests[s.Label] = requests[s.Label].Add(s.reserved())
+				}
+			})
 		}
 	}
 	total := Resources{}
-	var labelled []fleet.LabelNeed
 	for _, label := range slices.Sorted(maps.Keys(requests)) {
 		total = total.Add(requests[label])
 		if label != "" {
-			labelled = append(labelled, fleet.LabelNeed{Label: label, Waiting: requests[label].Share(machine)})
+			l.Labelled = append(l.Labelled, fleet.LabelNeed{Label: label, Waiting: requests[label].Share(machine)})
 		}
 	}
-	return total.Share(machine), labelled
+	l.Waiting = total.Share(machine)
+	l.WaitingLate = late.Share(machine)
 }
 
-// addWaiting adds the room that the tasks of an occurrence need which could start now, by the label that they need.
-func (o *occurrence) addWaiting(requests map[string]Resources) {
+// addWaiting calls add for each task of an occurrence that could start now.
+func (o *occurrence) addWaiting(add func(*Step)) {
 	for i, tasks := range o.steps {
 		step := tasks[0].step
 		if o.open[i] == 0 || !o.ready(step) {
@@ -81,7 +102,7 @@
 		}
 		for _, t := range tasks {
 			if !t.done && t.run == nil {
-				requests[step.Label] = requests[step.Label].Add(step.reserved())
+				add(step)
 			}
 		}
 	}
--- a/job/pool.go
+++ b/job/pool.go
@@ -102,6 +102,8 @@
 	steps  [][]*task
 	open   []int // tasks of each step that are not done
 	left   int   // tasks that are not done
+	// late states that it misses its objective even if the rest begins at once.
+	late bool
 }
 
 // jobState is a job and its progress.
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -53,9 +53,12 @@
 			continue
 		}
 		for _, o := range j.occurrences {
-			if o.hasWaiting() {
-				q = append(q, p.rank(j, o, now))
+			if !o.hasWaiting() {
+				continue
 			}
+			w := p.rank(j, o, now)
+			o.late = w.precedence == precedenceLate || w.precedence == precedenceOverdue
+			q = append(q, w)
 		}
 	}
 	slices.SortFunc(q, compareWaiting)
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -51,11 +51,12 @@
 }
 
 func newFleetLoop(s *shard) *fleetLoop {
-	begin, between := s.begun.Steady, time.Duration(0)
+	between := time.Duration(0)
 	if s.epoch > 1 {
 		between = time.Duration(s.node.settings.Bounds.OrderLeaseMs) * time.Millisecond
 	}
-	if s.epoch > 1 && !s.released {
+	begin := s.begun.Steady
+	if !s.predecessorEnded() {
 		// The earlier controller may still order until its membership lapses.
 		begin += membershipTTL + machineTimeout
 	}
@@ -84,6 +85,9 @@
 // run controls the fleet until the ownership ends.
 func (f *fleetLoop) run() {
 	f.node.log.Event(LogEvent{Part: "fleet", What: "controller started", Epoch: f.shard.epoch})
+	if !f.shard.predecessorEnded() {
+		f.node.wg.Go(f.awaitPredecessor)
+	}
 	for f.shard.ctx.Err() == nil {
 		f.round()
 		pause(f.shard.ctx, fleetEvery)
@@ -116,7 +120,7 @@
 	f.mu.Unlock()
 	f.evacuate = plan.Evacuate
 	f.logBalances(plan, now)
-	f.shard.machineOrders.Add(int32(len(plan.Orders)))
+	f.node.machineOrders.Add(int32(len(plan.Orders)))
 	for _, o := range plan.Orders {
 		f.node.wg.Go(func() { f.order(o) })
 	}
@@ -185,7 +189,7 @@
 
 // order sends an order for a machine.
 func (f *fleetLoop) order(o fleet.Order) {
-	defer f.shard.machineOrders.Add(-1)
+	defer f.node.machineOrders.Add(-1)
 	ctx, cancel := context.WithTimeout(f.shard.ctx, machineTimeout)
 	defer cancel()
 	result, err := f.node.machines.Order(ctx, f.node.settings.Node, f.shard.epoch, o)
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -20,6 +20,7 @@
 	typeState   = "job.state"
 	typeWaiting = "job.waiting"
 	typeFleet   = "fleet.load"
+	typeQuiet   = "shard.quiet"
 )
 
 const (
@@ -213,6 +214,7 @@
 			return n.handleCall(ctx, kind, body)
 		})
 	}
+	n.peers.Handle(typeQuiet, n.handleQuiet)
 }
 
 func (n *Node) handleCall(ctx context.Context, kind string, body peer.Body) (any, error) {
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/fleet"
@@ -65,6 +66,7 @@
 	log       *Log
 	metrics   *nodeMetrics
 	member    string
+	process   string // tells this process from others of the same node
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -77,6 +79,7 @@
 	refreshOwners  chan struct{}
 	refreshWorkers chan struct{}
 	leaving        atomic.Bool
+	machineOrders  atomic.Int32 // orders for machines on their way
 	strongSeen     atomic.Int64 // steady time in nanoseconds at which a strong member was last seen
 
 	mu     sync.Mutex
@@ -99,6 +102,7 @@
 		machines:       p.Machines,
 		metrics:        newNodeMetrics(),
 		member:         memberName(s),
+		process:        uuid.NewString(),
 		refreshOwners:  make(chan struct{}, 1),
 		refreshWorkers: make(chan struct{}, 1),
 		shards:         make(map[int]*shard),
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -78,15 +78,14 @@
 	extra     []job.Record             // to store with the next commit
 	nonce     string                   // tells this ownership's claim from others
 	seq       int64                    // of the last append
-	released  bool                     // the earlier owner had stopped ordering
+	previous  claim                    // of the earlier owner
 	closed    bool                     // the release is the last append; what arrives now is left to the successor
 	// releasing states that the shard is handed over: nothing new is accepted or ordered.
-	releasing     atomic.Bool
-	machineOrders atomic.Int32  // orders for machines on their way
-	commitAt      time.Duration // begin of the outstanding commit, 0 if there is none
-	lastAt        time.Duration // begin of the last commit
-	stepAt        time.Duration
-	stepTook      time.Duration // duration of the last round
+	releasing atomic.Bool
+	commitAt  time.Duration // begin of the outstanding commit, 0 if there is none
+	lastAt    time.Duration // begin of the last commit
+	stepAt    time.Duration
+	stepTook  time.Duration // duration of the last round
 }
 
 func newShard(n *Node, number int) *shard {
--- a/jobmanager/takeover.go
+++ b/jobmanager/takeover.go
@@ -23,6 +23,8 @@
 	Nonce string `cbor:"3,keyasint"`
 	// Released states that the owner has stopped ordering by itself.
 	Released bool `cbor:"4,keyasint,omitempty"`
+	// Process tells the processes of a node apart.
+	Process string `cbor:"5,keyasint,omitempty"`
 }
 
 // takeOver claims the shard, which fences earlier owners, and loads the stored records.
@@ -50,7 +52,7 @@
 	}
 	if last.Nonce != s.nonce {
 		s.epoch = last.Epoch + 1
-		s.released = last.Released
+		s.previous = last
 		if err := s.claim(ctx, end); err != nil {
 			return errors.Wrap(err, "claiming")
 		}
@@ -72,7 +74,7 @@
 }
 
 func (s *shard) claimRecord(released bool) (job.Record, error) {
-	value, err := cbor.Marshal(claim{Epoch: s.epoch, Node: s.node.settings.Node, Nonce: s.nonce, Released: released})
+	value, err := cbor.Marshal(claim{Epoch: s.epoch, Node: s.node.settings.Node, Nonce: s.nonce, Released: released, Process: s.node.process})
 	return job.Record{Key: claimKey, Value: value}, err
 }
 
@@ -92,7 +94,7 @@
 	settled := false
 	for !settled && ctx.Err() == nil {
 		s.call(ctx, func(job.Time) {
-			settled = s.settled() && s.machineOrders.Load() == 0
+			settled = s.settled() && s.node.machineOrders.Load() == 0
 			s.closed = settled
 		})
 		pause(ctx, releasePoll)
