--- a/job/commit.go
+++ b/job/commit.go
@@ -11,6 +11,8 @@
 	phases map[string]Phase
 	ends   map[string]lifeEnd
 	lives  map[string]int64 // recorded life of each worker
+	// workers holds the records of lives of workers.
+	workers map[string]Record
 }
 
 // Ends tells whether the commit contains the end of a job.
@@ -36,7 +38,9 @@
 	for _, id := range ids {
 		c.addJob(p.dirty[id])
 	}
-	for _, r := range p.workerRecords {
+	c.workers = p.workerRecords
+	p.workerRecords = make(map[string]Record)
+	for _, r := range c.workers {
 		c.Records = append(c.Records, r)
 	}
 	for id, w := range p.workers {
@@ -46,7 +50,6 @@
 		}
 	}
 	clear(p.dirty)
-	clear(p.workerRecords)
 	p.endsPending = false
 	p.committing = true
 	return c
@@ -59,6 +62,7 @@
 
 func (c *Commit) addJob(j *jobState) {
 	id := j.spec.ID
+	j.committing = true
 	c.Jobs = append(c.Jobs, id)
 	c.phases[id] = j.phase
 	if j.removed {
@@ -116,6 +120,7 @@
 		if j == nil {
 			continue
 		}
+		j.committing = false
 		if j.removed {
 			delete(p.jobs, id)
 			continue
@@ -138,6 +143,44 @@
 	}
 }
 
+// Withdraw drops the submitted jobs that are in no commit yet and returns their identifiers. They never run.
+//
+// It answers a store that does not: what waits for it can be refused truthfully, what was sent to it can not.
+func (p *Pool) Withdraw() []string {
+	var out []string
+	for id, j := range p.dirty {
+		if j.stored || j.committing || j.phase != Active {
+			continue
+		}
+		delete(p.jobs, id)
+		delete(p.dirty, id)
+		out = append(out, id)
+		p.event(Event{Kind: "job withdrawn", Job: id, Queue: j.spec.Queue})
+	}
+	slices.Sort(out)
+	return out
+}
+
+// GiveBack returns a commit that was certainly not stored, so that the next one contains its changes.
+func (p *Pool) GiveBack(c *Commit) {
+	p.committing = false
+	p.endsPending = p.endsPending || len(c.ends) > 0
+	for _, id := range c.Jobs {
+		j := p.jobs[id]
+		if j == nil {
+			continue
+		}
+		j.committing = false
+		j.dirtySpec, j.dirtyProgress = true, true
+		p.dirty[id] = j
+	}
+	for key, r := range c.workers {
+		if _, newer := p.workerRecords[key]; !newer {
+			p.workerRecords[key] = r
+		}
+	}
+}
+
 // stopAll orders the end of all runs of a job and drops its occurrences.
 func (p *Pool) stopAll(j *jobState, now Time) {
 	for _, o := range j.occurrences {
--- /dev/null
+++ b/job/commit_test.go
@@ -0,0 +1,69 @@
+package job
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestWithdrawKeepsWhatWasSent guards against a refusal of a job that may be stored, and against jobs that wait without an
+// answer while the store does not answer.
+func TestWithdrawKeepsWhatWasSent(t *testing.T) {
+	p := newTestPool(t, "w")
+	submit := func(id string) {
+		s := oneStep(id, 1, 1000)
+		s.Pool, s.Queue, s.Attempts = "pool", "queue", 2
+		p.Submit(s, p.now)
+	}
+	submit("sent")
+	c := p.TakeCommit()
+	submit("waits")
+	if got := p.Withdraw(); !slices.Equal(got, []string{"waits"}) {
+		t.Fatalf("withdrawn %v, want the job that was not sent", got)
+	}
+	if _, known := p.jobs["waits"]; known {
+		t.Error("a withdrawn job is still known")
+	}
+	p.Committed(c, p.now)
+	if s := starts(p.tick()); len(s) != 1 || s[0].Task.Job != "sent" {
+		t.Errorf("started %+v, want the job that was sent", s)
+	}
+}
+
+// TestGiveBackLosesNothing guards against changes that are lost when a commit was not stored: the end of a task, the records of
+// workers, a cancellation, and the truth of a later refusal.
+func TestGiveBackLosesNothing(t *testing.T) {
+	p := newTestPool(t, "w")
+	p.submit(oneStep("x", 1, 1000))
+	o := starts(p.tick())[0]
+	p.ends("w", EndedTask{Number: 1, Task: o.Task, Run: o.Run, How: EndDone})
+	s := oneStep("new", 1, 1000)
+	s.Pool, s.Queue, s.Attempts = "pool", "queue", 2
+	p.Submit(s, p.now)
+	p.register(&worker{info: WorkerInfo{ID: "v"}, born: 7})
+	c := p.TakeCommit()
+	p.GiveBack(c)
+	if got := p.Withdraw(); !slices.Equal(got, []string{"new"}) {
+		t.Fatalf("withdrawn %v after the commit was given back, want the new job", got)
+	}
+	if status, _ := p.Status("w", p.now); status.StableEnd != 0 {
+		t.Error("a worker may forget an end that is not stored")
+	}
+	again := p.TakeCommit()
+	if again == nil {
+		t.Fatal("the next commit is empty")
+	}
+	keys := make(map[string]bool)
+	for _, r := range again.Records {
+		keys[r.Key] = true
+	}
+	if !keys[keySpec+"x"] || !keys[keyWorker+"v"] || keys[keySpec+"new"] {
+		t.Fatalf("the next commit has the keys %v", keys)
+	}
+	p.Committed(again, p.now)
+	if state, _ := p.StateOf("x"); state != StateCompleted {
+		t.Errorf("the job is %q, want completed", state)
+	}
+	if status, _ := p.Status("w", p.now); status.StableEnd != 1 {
+		t.Error("a worker may not forget an end that is stored")
+	}
+}
--- a/job/pool.go
+++ b/job/pool.go
@@ -122,6 +122,7 @@
 	dirtySpec     bool
 	dirtyProgress bool
 	removed       bool // to be deleted from the store
+	committing    bool // in the outstanding commit
 }
 
 // New returns an empty pool.
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -51,6 +51,7 @@
 	codeUncertain
 	codeRefused
 	codeUnknown
+	codeStoreDown
 )
 
 // reply is the owner's answer.
@@ -112,12 +113,16 @@
 				return reply{}, uncertainError()
 			}
 			return r, nil
+		case codeStoreDown:
+			return reply{}, passError(uncertain)
 		case codeUncertain:
 			uncertain = true
 		case codeNotOwner:
 		}
 		n.wake(n.refreshOwners)
-		if ctx.Err() != nil || (!uncertain && n.clock.Now().Steady-begin > ownerWait) {
+		// Without the store no node can become the owner, so waiting would not help.
+		hopeless := n.storeDown.Load() || n.clock.Now().Steady-begin > ownerWait
+		if ctx.Err() != nil || (!uncertain && hopeless) {
 			return reply{}, passError(uncertain)
 		}
 		pause(ctx, forwardPause)
@@ -128,7 +133,7 @@
 	if uncertain {
 		return uncertainError()
 	}
-	e := verdict.New(verdict.NotRun, verdict.ReasonNotReady, http.StatusServiceUnavailable, "no node owns the pool at the moment")
+	e := verdict.New(verdict.NotRun, verdict.ReasonNotReady, http.StatusServiceUnavailable, "no node can store a job of the pool at the moment")
 	e.RetryAfter = retryAfterTrouble
 	return e
 }
@@ -197,6 +202,8 @@
 	switch {
 	case errors.Is(o.err, errNotOwner):
 		return reply{Code: codeNotOwner}
+	case errors.Is(o.err, errStoreDown):
+		return reply{Code: codeStoreDown}
 	case o.err != nil:
 		return reply{Code: codeUncertain}
 	case o.answer == job.Refused:
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -80,6 +80,7 @@
 	refreshWorkers chan struct{}
 	leaving        atomic.Bool
 	machineOrders  atomic.Int32 // orders for machines on their way
+	storeDown      atomic.Bool  // the store did not answer the last request for the owners
 	strongSeen     atomic.Int64 // steady time in nanoseconds at which a strong member was last seen
 
 	mu     sync.Mutex
@@ -370,6 +371,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	owners, err := n.group.Owners(ctx)
+	n.storeDown.Store(err != nil)
 	if err != nil {
 		n.log.Event(LogEvent{Part: "node", What: "owners not known", Why: err.Error()})
 		return
--- a/jobmanager/requests.go
+++ b/jobmanager/requests.go
@@ -12,7 +12,7 @@
 func (s *shard) submit(ctx context.Context, spec *job.Spec) outcome {
 	return s.request(ctx, spec.Pool, spec.ID, false, func(p *job.Pool, now job.Time) outcome {
 		if s.stale(now) {
-			return outcome{answer: job.Refused, retry: retryAfterTrouble}
+			return outcome{err: errStoreDown}
 		}
 		answer, retry := p.Submit(spec, now)
 		return outcome{answer: answer, retry: retry}
@@ -54,11 +54,6 @@
 	}
 }
 
-// stale tells whether the store has not answered the outstanding commit for some time.
-func (s *shard) stale(now job.Time) bool {
-	return s.commitAt != 0 && now.Steady-s.commitAt > commitStale
-}
-
 // stateOf returns the state of a job.
 func (s *shard) stateOf(ctx context.Context, pool, id string) (state job.State, known bool, err error) {
 	err = errNotOwner
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -21,16 +21,12 @@
 	stepShare = 5
 	// idleStep is the time between rounds while nothing happens.
 	idleStep = 60 * time.Millisecond
-	// commitEvery is the least time between the begins of commits; what happens meanwhile is stored in one append.
-	commitEvery = 25 * time.Millisecond
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 1200 * time.Millisecond
 	// adviceTimeout bounds a request for advice, which waits in turn behind others of this node.
 	adviceTimeout = 4 * time.Second
 	// storePause is the pause before a failed call to the store is repeated.
 	storePause = 60 * time.Millisecond
-	// commitStale is the age of an unfinished commit from which new jobs are refused: the store does not answer.
-	commitStale = 900 * time.Millisecond
 	// runsPerEpoch separates the run numbers of successive owners.
 	runsPerEpoch = 64
 	// driftFactor covers a worker's clock that is up to 2% slow, with reserve.
@@ -48,6 +44,8 @@
 
 var (
 	errNotOwner = errors.New("this node does not own the shard")
+	// errStoreDown means that the request was not stored, because the store does not answer.
+	errStoreDown = errors.New("the store does not answer")
 	// errUncertain means that the request may or may not have been stored.
 	errUncertain = errors.New("the outcome is not known")
 )
@@ -83,6 +81,7 @@
 	// releasing states that the shard is handed over: nothing new is accepted or ordered.
 	releasing atomic.Bool
 	commitAt  time.Duration // begin of the outstanding commit, 0 if there is none
+	failingTo time.Duration // until when new jobs are refused, because the store turned a commit away
 	lastAt    time.Duration // begin of the last commit
 	stepAt    time.Duration
 	stepTook  time.Duration // duration of the last round
@@ -146,13 +145,13 @@
 	s.serve()
 }
 
-// retry repeats a call to the store until it succeeds, the ownership ends or a later owner exists.
+// retry repeats a call to the store until it succeeds or is given up, the ownership ends or a later owner exists.
 func (s *shard) retry(f func(context.Context) error) error {
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 		err := f(ctx)
 		cancel()
-		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrMoved) {
+		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrMoved) || errors.Is(err, errNotStored) {
 			return err
 		}
 		if s.ctx.Err() != nil {
@@ -208,6 +207,9 @@
 		// Another node may own the shard by now. Nothing is ordered until the store confirms the membership again.
 		return
 	}
+	if s.stale(now) {
+		s.withdraw()
+	}
 	if s.releasing.Load() {
 		s.commit(now)
 		return
@@ -309,90 +311,6 @@
 	}
 }
 
-// commit stores the changes of all pools in one append. One append is outstanding at a time.
-func (s *shard) commit(now job.Time) {
-	if s.closed || s.commitAt != 0 || now.Steady-s.lastAt < commitEvery {
-		return
-	}
-	commits := make(map[*job.Pool]*job.Commit)
-	var records []job.Record
-	for _, p := range s.pools {
-		if c := p.TakeCommit(); c != nil {
-			commits[p] = c
-			records = append(records, c.Records...)
-		}
-	}
-	records = append(records, s.extra...)
-	s.extra = nil
-	if len(records) == 0 && len(commits) == 0 {
-		return
-	}
-	s.commitAt, s.lastAt = now.Steady, now.Steady
-	s.node.wg.Go(func() { s.store(commits, records) })
-}
-
-// store appends the records of a commit, repeating calls without an answer, and reports back.
-func (s *shard) store(commits map[*job.Pool]*job.Commit, records []job.Record) {
-	for len(records) > 0 {
-		group, rest := splitRecords(records, s.node.settings.Bounds.CallBytes)
-		records = rest
-		s.seq++
-		seq := s.seq
-		err := s.retry(func(ctx context.Context) error { return s.node.store.Append(ctx, s.number, s.epoch, seq, group) })
-		if err != nil {
-			s.cancel(errors.Wrap(err, "storing a commit"))
-			return
-		}
-	}
-	s.call(s.ctx, func(now job.Time) { s.committed(commits, now) })
-}
-
-// splitRecords returns the first records that fit in one call, at least one, and the rest.
-func splitRecords(records []job.Record, callBytes int) (group, rest []job.Record) {
-	// Each record has a length field, a key length and its key beside the value.
-	const overhead = 8
-	size := 0
-	for i, r := range records {
-		size += len(r.Key) + len(r.Value) + overhead
-		if i > 0 && callBytes > 0 && size > callBytes {
-			return records[:i], records[i:]
-		}
-	}
-	return records, nil
-}
-
-// committed answers the callers whose requests a commit contains.
-func (s *shard) committed(commits map[*job.Pool]*job.Commit, now job.Time) {
-	s.node.metrics.storeLatency.Update((now.Steady - s.commitAt).Microseconds())
-	s.commitAt = 0
-	for p, c := range commits {
-		p.Committed(c, now)
-		for _, id := range c.Jobs {
-			s.answer(id, c.Ends(id), outcome{answer: job.Accepted})
-		}
-	}
-	for _, l := range s.links {
-		l.committed()
-	}
-}
-
-// answer answers those who wait for a job. Ended states that the job's end is stored.
-func (s *shard) answer(id string, ended bool, o outcome) {
-	var rest []waiter
-	for _, w := range s.waiters[id] {
-		if w.ended && !ended {
-			rest = append(rest, w)
-			continue
-		}
-		w.reply <- o
-	}
-	if len(rest) == 0 {
-		delete(s.waiters, id)
-		return
-	}
-	s.waiters[id] = rest
-}
-
 // close ends the shard: callers learn that their outcome is not known.
 func (s *shard) close() {
 	close(s.done)
