--- a/jobmanager/commit.go
+++ b/jobmanager/commit.go
@@ -1,6 +1,7 @@
 package jobmanager
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -105,7 +106,7 @@
 // committed answers the callers whose requests a commit contains.
 func (s *shard) committed(commits map[*job.Pool]*job.Commit, now job.Time) {
 	s.node.metrics.storeLatency.Update((now.Steady - s.commitAt).Microseconds())
-	s.commitAt = 0
+	s.commitAt, s.trouble = 0, 0
 	for p, c := range commits {
 		p.Committed(c, now)
 		for _, id := range c.Jobs {
@@ -136,13 +137,14 @@
 
 // notStored takes a commit back that the store turned away. The jobs that it would have accepted are refused.
 func (s *shard) notStored(commits map[*job.Pool]*job.Commit, extra []job.Record, now job.Time) {
+	s.trouble = cmp.Or(s.trouble, s.commitAt)
 	s.commitAt = 0
 	s.failingTo = now.Steady + refuseFor
 	s.extra = append(extra, s.extra...)
 	for p, c := range commits {
 		p.GiveBack(c)
 	}
-	s.withdraw()
+	s.withdraw(now)
 }
 
 // stale tells whether the store does not answer, or turns commits away.
@@ -150,11 +152,16 @@
 	return (s.commitAt != 0 && now.Steady-s.commitAt > commitStale) || now.Steady < s.failingTo
 }
 
+// storeDown is the outcome of a job that was not stored.
+func (s *shard) storeDown(now job.Time) outcome {
+	return outcome{err: errStoreDown, retry: retryAfter(now.Steady - s.trouble)}
+}
+
 // withdraw refuses the jobs that wait to be stored and were not sent to the store.
-func (s *shard) withdraw() {
+func (s *shard) withdraw(now job.Time) {
 	for _, p := range s.pools {
 		for _, id := range p.Withdraw() {
-			s.answer(id, true, outcome{err: errStoreDown})
+			s.answer(id, true, s.storeDown(now))
 		}
 	}
 }
--- a/jobmanager/commit_test.go
+++ b/jobmanager/commit_test.go
@@ -116,3 +116,14 @@
 		t.Fatalf("outcome %+v of the job that was sent, want its acceptance", o)
 	}
 }
+
+// TestRetryAfterGrowsWithTheOutage guards against callers that use up their repeats within an outage of a few seconds.
+func TestRetryAfterGrowsWithTheOutage(t *testing.T) {
+	for _, c := range []struct{ age, want time.Duration }{
+		{0, retryAfterTrouble}, {2 * time.Second, 2 * time.Second}, {time.Minute, maxRetryAfterTrouble},
+	} {
+		if got := retryAfter(c.age); got != c.want {
+			t.Errorf("after %v callers return in %v, want %v", c.age, got, c.want)
+		}
+	}
+}
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -114,27 +114,27 @@
 			}
 			return r, nil
 		case codeStoreDown:
-			return reply{}, passError(uncertain)
+			return reply{}, passError(uncertain, time.Duration(r.RetryMs)*time.Millisecond)
 		case codeUncertain:
 			uncertain = true
 		case codeNotOwner:
 		}
 		n.wake(n.refreshOwners)
 		// Without the store no node can become the owner, so waiting would not help.
-		hopeless := n.storeDown.Load() || n.clock.Now().Steady-begin > ownerWait
+		hopeless := n.storeDown.Load() > 0 || n.clock.Now().Steady-begin > ownerWait
 		if ctx.Err() != nil || (!uncertain && hopeless) {
-			return reply{}, passError(uncertain)
+			return reply{}, passError(uncertain, retryAfter(n.storeDownFor()))
 		}
 		pause(ctx, forwardPause)
 	}
 }
 
-func passError(uncertain bool) error {
+func passError(uncertain bool, retry time.Duration) error {
 	if uncertain {
 		return uncertainError()
 	}
 	e := verdict.New(verdict.NotRun, verdict.ReasonNotReady, http.StatusServiceUnavailable, "no node can store a job of the pool at the moment")
-	e.RetryAfter = retryAfterTrouble
+	e.RetryAfter = retry
 	return e
 }
 
@@ -203,7 +203,7 @@
 	case errors.Is(o.err, errNotOwner):
 		return reply{Code: codeNotOwner}
 	case errors.Is(o.err, errStoreDown):
-		return reply{Code: codeStoreDown}
+		return reply{Code: codeStoreDown, RetryMs: o.retry.Milliseconds()}
 	case o.err != nil:
 		return reply{Code: codeUncertain}
 	case o.answer == job.Refused:
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -80,7 +80,7 @@
 	refreshWorkers chan struct{}
 	leaving        atomic.Bool
 	machineOrders  atomic.Int32 // orders for machines on their way
-	storeDown      atomic.Bool  // the store did not answer the last request for the owners
+	storeDown      atomic.Int64 // steady time in nanoseconds since when requests for the owners fail, 0 if they do not
 	strongSeen     atomic.Int64 // steady time in nanoseconds at which a strong member was last seen
 
 	mu     sync.Mutex
@@ -370,8 +370,9 @@
 func (n *Node) readOwners() {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
+	begun := n.clock.Now().Steady
 	owners, err := n.group.Owners(ctx)
-	n.storeDown.Store(err != nil)
+	n.noteStore(err == nil, begun)
 	if err != nil {
 		n.log.Event(LogEvent{Part: "node", What: "owners not known", Why: err.Error()})
 		return
@@ -390,6 +391,24 @@
 	}
 }
 
+// noteStore notes since when the store does not answer.
+func (n *Node) noteStore(answered bool, begun time.Duration) {
+	if answered {
+		n.storeDown.Store(0)
+		return
+	}
+	n.storeDown.CompareAndSwap(0, int64(begun))
+}
+
+// storeDownFor returns for how long the store has not answered, 0 if it does.
+func (n *Node) storeDownFor() time.Duration {
+	since := n.storeDown.Load()
+	if since == 0 {
+		return 0
+	}
+	return n.clock.Now().Steady - time.Duration(since)
+}
+
 // targets returns the peer addresses of the owners.
 func targets(owners map[int]string) []peer.Target {
 	var out []peer.Target
--- a/jobmanager/requests.go
+++ b/jobmanager/requests.go
@@ -12,7 +12,7 @@
 func (s *shard) submit(ctx context.Context, spec *job.Spec) outcome {
 	return s.request(ctx, spec.Pool, spec.ID, false, func(p *job.Pool, now job.Time) outcome {
 		if s.stale(now) {
-			return outcome{err: errStoreDown}
+			return s.storeDown(now)
 		}
 		answer, retry := p.Submit(spec, now)
 		return outcome{answer: answer, retry: retry}
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -1,6 +1,7 @@
 package jobmanager
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -31,8 +32,10 @@
 	runsPerEpoch = 64
 	// driftFactor covers a worker's clock that is up to 2% slow, with reserve.
 	driftFactor = 1.03
-	// retryAfterTrouble is when callers are asked to return while a shard has no owner or the store does not answer.
-	retryAfterTrouble = time.Second
+	// retryAfterTrouble and maxRetryAfterTrouble bound when callers are asked to return while a shard has no owner or the
+	// store does not answer.
+	retryAfterTrouble    = time.Second
+	maxRetryAfterTrouble = 4 * time.Second
 )
 
 // outcome answers a caller's request.
@@ -82,6 +85,7 @@
 	releasing atomic.Bool
 	commitAt  time.Duration // begin of the outstanding commit, 0 if there is none
 	failingTo time.Duration // until when new jobs are refused, because the store turned a commit away
+	trouble   time.Duration // since when commits are not stored, 0 if they are
 	lastAt    time.Duration // begin of the last commit
 	stepAt    time.Duration
 	stepTook  time.Duration // duration of the last round
@@ -101,6 +105,12 @@
 	return s
 }
 
+// retryAfter returns when callers should return after trouble of some age: trouble that has lasted for long lasts longer, and
+// callers repeat a request only a few times.
+func retryAfter(age time.Duration) time.Duration {
+	return min(maxRetryAfterTrouble, max(retryAfterTrouble, age))
+}
+
 // lose ends the ownership.
 func (s *shard) lose(why string) { s.cancel(errors.New(why)) }
 
@@ -208,7 +218,8 @@
 		return
 	}
 	if s.stale(now) {
-		s.withdraw()
+		s.trouble = cmp.Or(s.trouble, s.commitAt)
+		s.withdraw(now)
 	}
 	if s.releasing.Load() {
 		s.commit(now)
