Count arriving work in the need of a pool; begin waves with lasting tasks

Cause: a peak shows in running and waiting tasks only after about a job's duration, so machines came late at its begin. Change: a pool reports a moving average of the work that callers ask for, accepted or not, and its forecast is at least that; in each pool one machine with lasting tasks is always in work for a wave. Test: TestWaveBeginsWithLastingTasks fails before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,6 +47,10 @@
 	UsedLate    float64      `cbor:"6,keyasint,omitempty"`
 	WaitingLate float64      `cbor:"7,keyasint,omitempty"`
 	Workers     []WorkerLoad `cbor:"3,keyasint,omitempty"`
+	// Arriving is the work that callers ask for now, in machine-seconds for each second. It does not count lasting tasks.
+	Arriving float64 `cbor:"8,keyasint,omitempty"`
+	// Lasting is the part of Used that lasting tasks take.
+	Lasting float64 `cbor:"9,keyasint,omitempty"`
 	// Labelled is the part of Waiting that needs workers with a label.
 	Labelled []LabelNeed `cbor:"5,keyasint,omitempty"`
 	// Least is how many machines the pool needs for tasks that may not share a worker.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -319,3 +319,29 @@
 		t.Fatalf("pool a has %d machines while 8 were on standby, want at least 10", got)
 	}
 }
+
+// TestWaveBeginsWithLastingTasks guards against a wave that leaves all machines with lasting tasks to its end: those tasks move
+// one after the other within their budgets, and the last machines were late.
+func TestWaveBeginsWithLastingTasks(t *testing.T) {
+	w := newWorld(t, map[string]int{"a": 5, "b": 5, "spare": 8})
+	for _, pool := range []string{"a", "b"} {
+		l := Load{Used: 1}
+		for i := range 5 {
+			l.Workers = append(l.Workers, WorkerLoad{Worker: fmt.Sprintf("w-%s%d", pool, i), Runs: 1, Lasting: 1})
+		}
+		w.loads[pool] = l
+	}
+	wave := Wave{Number: 3, Deadline: time.Minute, Cap: 3}
+	for _, m := range w.machines {
+		wave.Hosts = append(wave.Hosts, m.Host)
+	}
+	o := Observation{
+		Machines: w.machines, Loads: w.loads, Waves: []Wave{wave},
+		Pools: []Pool{{Name: "a"}, {Name: "b"}, {Name: "spare", Standby: true}},
+	}
+	w.c.Observe(o, w.now)
+	plan := w.c.Plan(w.now)
+	if len(plan.Evacuate["a"]) != 1 || len(plan.Evacuate["b"]) != 1 {
+		t.Fatalf("evacuated first: %v, want one machine with lasting tasks in each pool", plan.Evacuate)
+	}
+}
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -115,12 +115,13 @@
 // It answers the rise of a peak: what is asked for now is too little by the time the machines are there.
 func (c *Controller) forecast(pool string, load Load) float64 {
 	demand := load.demand()
+	arriving := load.Lasting + load.Arriving
 	past, ok := c.demand[pool]
 	if !ok {
-		return demand
+		return max(demand, arriving)
 	}
 	rise := max(0, demand-past.average)
-	return demand + rise
+	return max(demand+rise, arriving)
 }
 
 // demand returns what lasting tasks and jobs that can meet their objective need.
--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -53,7 +53,8 @@
 // planWaves begins the evacuation of machines that are due.
 //
 // It answers waves that take many machines of pools whose load turns: it begins with the machines that run least, and takes
-// only as many at once as the deadline needs, so that the pools keep their room.
+// only as many at once as the deadline needs, so that the pools keep their room. Lasting tasks move one after the other within
+// their budgets, so one machine with such tasks in each pool is always in work.
 func (c *Controller) planWaves(now time.Duration) {
 	numbers := slices.Sorted(maps.Keys(c.waves))
 	for _, n := range numbers {
@@ -64,6 +65,7 @@
 func (c *Controller) planWave(s *waveState, now time.Duration) {
 	var due []Machine
 	active := 0
+	lasting := make(map[string]bool) // pools that have a machine with lasting tasks in work
 	for _, host := range s.wave.Hosts {
 		if s.done[host] {
 			continue
@@ -78,6 +80,7 @@
 		switch {
 		case op != nil && op.order.Kind == OrderMaintenance:
 			active++
+			lasting[m.Pool] = lasting[m.Pool] || c.hasLasting(m)
 		case op == nil && m.State == Up:
 			due = append(due, m)
 		}
@@ -85,6 +88,7 @@
 	slices.SortStableFunc(due, func(a, b Machine) int {
 		return cmp.Or(cmp.Compare(c.effort(a), c.effort(b)), cmp.Compare(a.Host, b.Host))
 	})
+	due = c.lastingFirst(due, lasting)
 	for _, m := range due[:min(len(due), max(0, s.parallel(len(due)+active, now)-active))] {
 		c.ops[m.Host] = &operation{
 			order: Order{Kind: OrderMaintenance, Host: m.Host, Wave: s.wave.Number}, worker: m.Worker, pool: m.Pool, begun: now,
@@ -92,6 +96,25 @@
 	}
 }
 
+// lastingFirst puts one machine with lasting tasks before the others for each pool that has none in work.
+func (c *Controller) lastingFirst(due []Machine, inWork map[string]bool) []Machine {
+	var first, rest []Machine
+	for _, m := range due {
+		if c.hasLasting(m) && !inWork[m.Pool] {
+			inWork[m.Pool] = true
+			first = append(first, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	return append(first, rest...)
+}
+
+func (c *Controller) hasLasting(m Machine) bool {
+	w, ok := c.load(m)
+	return ok && w.Lasting > 0
+}
+
 // noteMissing counts a machine as done when it has been missing for long.
 func (s *waveState) noteMissing(host string, now time.Duration) {
 	since, ok := s.gone[host]
--- a/job/load.go
+++ b/job/load.go
@@ -14,13 +14,15 @@
 	for _, w := range p.sortedWorkers() {
 		used := w.used.Share(capacity)
 		l.Used += used
-		l.UsedLate += used - w.used.Sub(w.usedLate()).Share(capacity)
+		l.Lasting += w.usedBy(func(r *run) bool { return r.task.step.Lasting }).Share(capacity)
+		l.UsedLate += used - w.used.Sub(w.usedBy((*run).late)).Share(capacity)
 		l.Workers = append(l.Workers, fleet.WorkerLoad{
 			Worker: w.info.ID, AgeMs: now.WallMs - w.born, Runs: len(w.runs) + len(w.strays), Lasting: w.lasting(), Empty: p.Empty(w.info.ID),
 		})
 	}
 	p.addWaiting(&l, capacity)
 	l.Least = p.leastWorkers()
+	l.Arriving = p.arrivals.machines(now)
 	return l
 }
 
@@ -51,15 +53,21 @@
 	return c
 }
 
-// usedLate returns what jobs take that miss their objective anyway.
-func (w *worker) usedLate() Resources {
-	var late Resources
+// late tells whether a run is of a job that misses its objective anyway.
+func (r *run) late() bool {
+	o := r.task.job.occurrences[r.task.id.Occurrence]
+	return o != nil && o.late
+}
+
+// usedBy returns what some runs take.
+func (w *worker) usedBy(which func(*run) bool) Resources {
+	var sum Resources
 	for _, r := range w.runs {
-		if o := r.task.job.occurrences[r.task.id.Occurrence]; o != nil && o.late {
-			late = late.Add(r.task.step.reserved())
+		if which(r) {
+			sum = sum.Add(r.task.step.reserved())
 		}
 	}
-	return late
+	return sum
 }
 
 // addWaiting adds the room, in machines, that tasks need which could start now. The part for each label that workers must
--- a/job/pool.go
+++ b/job/pool.go
@@ -48,6 +48,7 @@
 	advice         map[StepID]*advice
 	adviceRequests []AdviceRequest
 	backlog        backlog
+	arrivals       arrivals
 	events         []Event
 }
 
--- a/job/submit.go
+++ b/job/submit.go
@@ -37,6 +37,7 @@
 		}
 		return Pending, 0
 	}
+	p.noteArrival(s, now)
 	if wait := p.overload(s); wait > 0 {
 		p.event(Event{Kind: "job refused", Job: s.ID, Queue: s.Queue, AgeMs: wait.Milliseconds()})
 		return Refused, wait
