--- a/job/schedule.go
+++ b/job/schedule.go
@@ -14,12 +14,18 @@
 	precedenceLasting precedence = iota
 	// precedenceStarving is of overdue jobs that waited for long, so that each accepted job ends.
 	precedenceStarving
+	// precedenceLastChance is of late jobs that must begin now, or their result is of no use to the caller any more.
+	precedenceLastChance
 	precedenceOnTime
 	precedenceLate
 	// precedenceOverdue is of jobs whose result is of no use to the caller any more. They are done nevertheless.
 	precedenceOverdue
 )
 
+// lastChance is how long before a late job becomes useless it gets room before those that can be on time. It covers the wait for
+// a task to end.
+const lastChance = 700 * time.Millisecond
+
 // starvation is how long an overdue job may stay behind all others.
 const starvation = 10 * time.Second
 
@@ -57,7 +63,7 @@
 				continue
 			}
 			w := p.rank(j, o, now)
-			o.late = w.precedence == precedenceLate || w.precedence == precedenceOverdue
+			o.late = w.precedence == precedenceLate || w.precedence == precedenceOverdue || w.precedence == precedenceLastChance
 			q = append(q, w)
 		}
 	}
@@ -143,11 +149,14 @@
 	}
 	w.remaining = p.remaining(j, o)
 	w.latest = begin + j.spec.objective() - w.remaining
+	useless := begin + lateFactor*j.spec.objective() - w.remaining // if the rest has not begun by then
 	switch {
 	case now.Steady > begin+lateFactor*j.spec.objective()+starvation:
 		w.precedence = precedenceStarving
-	case now.Steady > begin+lateFactor*j.spec.objective()-w.remaining:
+	case now.Steady > useless:
 		w.precedence = precedenceOverdue
+	case now.Steady > useless-lastChance:
+		w.precedence = precedenceLastChance
 	case now.Steady > w.latest:
 		w.precedence = precedenceLate
 	}
