Shorten the membership to 1.5 s; split what a node follows from node.go

Ruled out: 1 s, the store's least, as a slow store answers within about 0.3 s and two confirmations may then be lost.

--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -1,19 +1,15 @@
 package jobmanager
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
@@ -22,12 +18,12 @@
 
 const (
 	// membershipTTL is how long the store keeps a member that sends nothing. An owner that is not confirmed for as long
-	// stops ordering; another one takes over.
-	membershipTTL = 2 * time.Second
+	// stops ordering; another one takes over. The store permits 1 s at least; a slow store answers within about 300 ms.
+	membershipTTL = 1500 * time.Millisecond
 	// joinEvery is the time between confirmations; three may be lost within membershipTTL.
-	joinEvery = 600 * time.Millisecond
+	joinEvery = 450 * time.Millisecond
 	// joinTimeout bounds one confirmation.
-	joinTimeout = 550 * time.Millisecond
+	joinTimeout = 420 * time.Millisecond
 	// standInAfter is how long no strong member must be seen before other nodes own shards.
 	standInAfter = 3 * time.Second
 	// ownersEvery is the time between reads of the shards' owners.
@@ -282,53 +278,6 @@
 	}
 }
 
-// followOperators keeps what operators declare current. A version of the configuration never replaces a later one.
-func (n *Node) followOperators() {
-	for n.ctx.Err() == nil {
-		change, err := n.operators.Next(n.ctx)
-		if err != nil {
-			n.log.Event(LogEvent{Part: "config", What: "no answer", Why: err.Error()})
-			pause(n.ctx, failurePause)
-			continue
-		}
-		for _, problem := range change.Malformed {
-			n.log.Event(LogEvent{Part: "config", What: "entry ignored", Why: problem.Error()})
-		}
-		n.applyWaves(change.Waves)
-		if change.Config != nil {
-			n.applyConfig(change.Config)
-		}
-	}
-}
-
-func (n *Node) applyWaves(waves []fleet.Wave) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, w := range waves {
-		n.waves[w.Number] = w
-		n.log.Event(LogEvent{Part: "fleet", What: "wave declared", Epoch: w.Number, Count: len(w.Hosts)})
-	}
-}
-
-func (n *Node) applyConfig(c *Config) {
-	if old := n.config.Load(); old != nil && old.Version >= c.Version {
-		n.log.Event(LogEvent{Part: "config", What: "older version ignored", Epoch: c.Version})
-		return
-	}
-	pools := make(map[int][]string)
-	seen := make(map[string]bool)
-	for _, r := range c.Routes {
-		if !seen[r.Pool] {
-			seen[r.Pool] = true
-			number := n.shardOf(r.Pool)
-			pools[number] = append(pools[number], r.Pool)
-		}
-	}
-	n.shardPools.Store(&pools)
-	n.config.Store(c)
-	n.log.Event(LogEvent{Part: "config", What: "in force", Epoch: c.Version, Count: len(c.Routes)})
-}
-
 // followDirectory keeps the list of workers current while the node owns a pool.
 func (n *Node) followDirectory() {
 	for n.ctx.Err() == nil {
@@ -358,89 +307,6 @@
 	n.entries.Store(v)
 }
 
-// followOwners keeps the map of owners current and links to them open.
-func (n *Node) followOwners() {
-	for n.ctx.Err() == nil {
-		n.readOwners()
-		pause(n.ctx, ownersAtOnce)
-		n.wait(n.refreshOwners, ownersEvery-ownersAtOnce)
-	}
-}
-
-func (n *Node) readOwners() {
-	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-	defer cancel()
-	begun := n.clock.Now().Steady
-	owners, err := n.group.Owners(ctx)
-	n.noteStore(err == nil, begun)
-	if err != nil {
-		n.log.Event(LogEvent{Part: "node", What: "owners not known", Why: err.Error()})
-		return
-	}
-	for _, member := range owners {
-		if !strings.HasSuffix(member, weakSuffix) {
-			n.strongSeen.Store(int64(n.clock.Now().Steady))
-		}
-	}
-	n.mu.Lock()
-	changed := !maps.Equal(n.owners, owners)
-	n.owners = owners
-	n.mu.Unlock()
-	if changed {
-		n.peers.SetTargets(targets(owners))
-	}
-}
-
-// noteStore notes since when the store does not answer.
-func (n *Node) noteStore(answered bool, begun time.Duration) {
-	if answered {
-		n.storeDown.Store(0)
-		return
-	}
-	n.storeDown.CompareAndSwap(0, int64(begun))
-}
-
-// storeDownFor returns for how long the store has not answered, 0 if it does.
-func (n *Node) storeDownFor() time.Duration {
-	since := n.storeDown.Load()
-	if since == 0 {
-		return 0
-	}
-	return n.clock.Now().Steady - time.Duration(since)
-}
-
-// targets returns the peer addresses of the owners.
-func targets(owners map[int]string) []peer.Target {
-	var out []peer.Target
-	for _, member := range owners {
-		if node, addr, err := splitMember(member); err == nil {
-			out = append(out, peer.Target{Node: node, Addr: addr})
-		}
-	}
-	return out
-}
-
-// weakSuffix ends the member names of nodes that are not strong.
-const weakSuffix = "~"
-
-// memberName returns the name of a node in the group: NODE@ADDRESS, with weakSuffix if the node is not strong.
-func memberName(s *Settings) string {
-	name := fmt.Sprintf("%s@%s", s.Node, cmp.Or(s.Advertise, s.Peers))
-	if !s.strong() {
-		name += weakSuffix
-	}
-	return name
-}
-
-// splitMember splits a member name.
-func splitMember(member string) (node, addr string, err error) {
-	node, addr, ok := strings.Cut(strings.TrimSuffix(member, weakSuffix), "@")
-	if !ok {
-		return "", "", errors.Errorf("member %q does not have the form NODE@ADDRESS", member)
-	}
-	return node, addr, nil
-}
-
 // wait waits for a wake-up, for d or until the node ends.
 func (n *Node) wait(wake chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/jobmanager/operators.go
@@ -0,0 +1,50 @@
+package jobmanager
+
+import "github.com/berylwharf/berylwharf/fleet"
+
+// followOperators keeps what operators declare current. A version of the configuration never replaces a later one.
+func (n *Node) followOperators() {
+	for n.ctx.Err() == nil {
+		change, err := n.operators.Next(n.ctx)
+		if err != nil {
+			n.log.Event(LogEvent{Part: "config", What: "no answer", Why: err.Error()})
+			pause(n.ctx, failurePause)
+			continue
+		}
+		for _, problem := range change.Malformed {
+			n.log.Event(LogEvent{Part: "config", What: "entry ignored", Why: problem.Error()})
+		}
+		n.applyWaves(change.Waves)
+		if change.Config != nil {
+			n.applyConfig(change.Config)
+		}
+	}
+}
+
+func (n *Node) applyWaves(waves []fleet.Wave) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range waves {
+		n.waves[w.Number] = w
+		n.log.Event(LogEvent{Part: "fleet", What: "wave declared", Epoch: w.Number, Count: len(w.Hosts)})
+	}
+}
+
+func (n *Node) applyConfig(c *Config) {
+	if old := n.config.Load(); old != nil && old.Version >= c.Version {
+		n.log.Event(LogEvent{Part: "config", What: "older version ignored", Epoch: c.Version})
+		return
+	}
+	pools := make(map[int][]string)
+	seen := make(map[string]bool)
+	for _, r := range c.Routes {
+		if !seen[r.Pool] {
+			seen[r.Pool] = true
+			number := n.shardOf(r.Pool)
+			pools[number] = append(pools[number], r.Pool)
+		}
+	}
+	n.shardPools.Store(&pools)
+	n.config.Store(c)
+	n.log.Event(LogEvent{Part: "config", What: "in force", Epoch: c.Version, Count: len(c.Routes)})
+}
