--- a/jobmanager/link_test.go
+++ b/jobmanager/link_test.go
@@ -1,8 +1,6 @@
 package jobmanager
 
 import (
-	"context"
-	"io"
 	"testing"
 	"time"
 
@@ -12,19 +10,8 @@
 // TestRefusedConnectionIsNoAnswer guards against a lease that is extended for ever on a worker which is gone: orders to its
 // address were refused each 0.6 s, counted as answers, and the tasks that were booked there never started elsewhere.
 func TestRefusedConnectionIsNoAnswer(t *testing.T) {
-	n := &Node{
-		settings: &Settings{Node: "n", Shards: 1, Bounds: Bounds{MaxLeaseMs: 5000, StatusS: 60, CallBytes: 1 << 20}},
-		clock:    SystemClock{}, store: &recordingStore{}, log: NewLog(io.Discard, "n"), metrics: newNodeMetrics(),
-	}
-	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.entries.Store(&directoryView{})
-	n.confirmedUntil.Store(int64(n.clock.Now().Steady + time.Hour))
-	s := newShard(n, 1)
-	n.wg.Go(s.run)
-	defer func() {
-		n.cancel()
-		n.wg.Wait()
-	}()
+	s := storeNode(t, &recordingStore{})
+	n := s.node
 	var l *link
 	s.call(n.ctx, func(now job.Time) { l = newLink(s, s.pool("p", now), "w") })
 	answered := func(result job.Result, err error) bool {
--- a/jobmanager/release_test.go
+++ b/jobmanager/release_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"time"
@@ -37,15 +36,8 @@
 // and drops it, a worker forgets the ends that it contained, and their tasks are started again.
 func TestReleaseIsTheLastAppend(t *testing.T) {
 	store := &recordingStore{release: make(chan struct{}), began: make(chan struct{})}
-	n := &Node{
-		settings: &Settings{Node: "n", Shards: 1, Bounds: Bounds{MaxLeaseMs: 5000, StatusS: 60, CallBytes: 1 << 20}},
-		clock:    SystemClock{}, store: store, log: NewLog(io.Discard, "n"), metrics: newNodeMetrics(),
-	}
-	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.entries.Store(&directoryView{})
-	n.confirmedUntil.Store(int64(n.clock.Now().Steady + time.Hour))
-	s := newShard(n, 1)
-	n.wg.Go(s.run)
+	s := storeNode(t, store)
+	n := s.node
 	submit := func(id string) {
 		s.call(n.ctx, func(now job.Time) {
 			s.pool("p", now).Submit(&job.Spec{ID: id, Pool: "p", Attempts: 1, Steps: []job.Step{{Count: 1}}}, now)
