Keep a lasting task whose start had no answer while its step's budget does not permit its end

Ruled out: an evacuation (none is in the trace of the schedule). Change: the stop of such a start waits for the budget; the next report or the end of the lease decides.

--- a/job/order.go
+++ b/job/order.go
@@ -181,7 +181,7 @@
 
 func (p *Pool) repeat(r *run, now Time) {
 	if r.state == runStarting && r.tries >= maxStartTries {
-		p.stop(r, now)
+		p.giveUpStart(r, now)
 		return
 	}
 	r.ordered = now.Steady
@@ -192,3 +192,14 @@
 	}
 	p.sendStart(r, now)
 }
+
+// giveUpStart stops a run whose start had no answer, so that its task can go elsewhere. A lasting task may be at work there;
+// while its step's budget does not permit its end, the next report or the end of the lease decides.
+func (p *Pool) giveUpStart(r *run, now Time) {
+	if r.task.step.Lasting && !p.within(r.task, now) {
+		r.ordered = now.Steady
+		return
+	}
+	p.event(Event{Kind: "start given up", Task: r.task.id, Run: r.number, Worker: r.worker.info.ID})
+	p.stop(r, now)
+}
