--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(CURDIR)/bin
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint fmt fmt-check demo ci clean
+.PHONY: build test lint fmt fmt-check demo soak ci clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -26,6 +26,11 @@
 demo: build
 	$(BIN)/berylwharf-demo -bin $(BIN)
 
+# Plays 50 seeds of the fault soak, 3 at a time; about 8 minutes.
+soak: build
+	mkdir -p $(BIN)/soak
+	$(BIN)/berylwharf-soak -bin $(BIN)/berylwharfd -dir $(BIN)/soak -seeds 50 -parallel 3
+
 ci: fmt-check lint test
 
 clean:
