Fill the slots before the queue in TestDrainCutsNothing

The goroutine dump shows 5 of 12 requests without an answer while the test waits for 8 starts: all 12 were sent at once, and while slots were being granted more than 4 waited, so that some were refused by the full queue, as the product should. Ruled out: a lost grant (the 7 others were answered). Change: the test sends as many as there are slots, waits for their starts, then fills the queue; what it checks is the same.

--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -101,12 +101,17 @@
 	n := newNode(t, func(_ *Config, s *resource.Service) { s.QueueLimit = 4 }, addr)
 	replies := make(chan reply, 100)
 	const requests = SlotsPerWorker + 4
-	for range requests {
-		go func() { replies <- n.do("POST", "/svc/booking/", "x") }()
+	send := func(count int) {
+		for range count {
+			go func() { replies <- n.do("POST", "/svc/booking/", "x") }()
+		}
 	}
+	// The slots are taken before the others come; all at once would overfill the queue while the slots are being granted.
+	send(SlotsPerWorker)
 	for range SlotsPerWorker {
 		<-started
 	}
+	send(requests - SlotsPerWorker)
 	s := n.h.table.Load().services["booking"]
 	waitFor(t, func() bool {
 		s.mu.Lock()
