--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -106,9 +106,9 @@
 			go func() { replies <- n.do("POST", "/svc/booking/", "x") }()
 		}
 	}
-	// The slots are taken before the others come; all at once would overfill the queue while the slots are being granted.
-	send(SlotsPerWorker)
+	// The slots are taken one by one; all at once would overfill the queue while they are being granted.
 	for range SlotsPerWorker {
+		send(1)
 		<-started
 	}
 	send(requests - SlotsPerWorker)
