jobmanager: name a short delay in the first refusals of an outage

TestFirstRefusalOfAnOutage fails without the change. Ruled out: setting the time when a commit starts, because most commits succeed.

--- a/jobmanager/commit.go
+++ b/jobmanager/commit.go
@@ -157,9 +157,11 @@
 	return (s.commitStartedAt != 0 && now.Steady-s.commitStartedAt > commitStallTimeout) || now.Steady < s.refuseUntil
 }
 
-// storeDownOutcome is the outcome of a request that was not stored because the store is unavailable.
+// storeDownOutcome is the outcome of a request that was not stored because the store is unavailable. Requests can find
+// the store unavailable before the next step records since when it fails.
 func (s *shard) storeDownOutcome(now job.Time) outcome {
-	return outcome{err: errStoreDown, retry: retryAfter(now.Steady - s.storeFailingSince)}
+	since := cmp.Or(s.storeFailingSince, s.commitStartedAt, now.Steady)
+	return outcome{err: errStoreDown, retry: retryAfter(now.Steady - since)}
 }
 
 // withdrawUnsent refuses the jobs that have not been sent to the store yet.
--- a/jobmanager/commit_test.go
+++ b/jobmanager/commit_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// TestFirstRefusalOfAnOutage guards against the first callers of an outage being sent away for the longest delay, because
+// the time since which the store fails is not known yet.
+func TestFirstRefusalOfAnOutage(t *testing.T) {
+	now := job.Time{Steady: time.Hour}
+	for _, s := range []*shard{
+		{commitStartedAt: now.Steady - commitStallTimeout - time.Millisecond},
+		{refuseUntil: now.Steady + refusalPeriod},
+	} {
+		if !s.storeUnavailable(now) {
+			t.Fatal("the store is available")
+		}
+		if o := s.storeDownOutcome(now); o.retry != minRetryAfter {
+			t.Errorf("callers return in %v, want %v", o.retry, minRetryAfter)
+		}
+	}
+}
+
 // TestRetryAfterGrowsWithTheOutage guards against callers that use up their retries within an outage of a few seconds.
 func TestRetryAfterGrowsWithTheOutage(t *testing.T) {
 	for _, c := range []struct{ age, want time.Duration }{
