job, fleet, peer: spend less time on what has not changed

Cause: with 300 workers and thousands of finished jobs, each scheduling step walked over all kept jobs and each submission over all runs; the fleet controller searched the workers of a pool for each machine and counted a wave's machines for each order; each link of a node woke a goroutine ten times a second. Change: open jobs are kept apart from finished ones, the capacity of long-running tasks is summed when runs change, the fleet controller indexes loads and sorts machines once a round, and the keeper of a link waits for its end. Ruled out: keeping the queue sorted between steps, because ranks change with time.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -166,10 +166,13 @@
 	upSince       map[string]workerUptime // by host
 	observed      Observation
 	machines      map[string]Machine
-	ops           map[string]*operation // by host
-	waves         map[int64]*waveState
-	idleSince     map[string]time.Duration // by host
-	pools         map[string]Pool
+	sorted        []Machine // by host
+	// workerLoads holds the load of each worker by pool and worker.
+	workerLoads map[string]map[string]WorkerLoad
+	ops         map[string]*operation // by host
+	waves       map[int64]*waveState
+	idleSince   map[string]time.Duration // by host
+	pools       map[string]Pool
 	// changedAt is when the last operation on a machine finished. It prevents machines from oscillating between pools.
 	changedAt map[string]time.Duration
 	// averageDemand is the moving average of the demand of each pool.
@@ -216,6 +219,16 @@
 	for _, m := range o.Machines {
 		c.machines[m.Host] = m
 	}
+	// Decisions must not depend on the order in which the platform lists the machines.
+	c.sorted = slices.Clone(o.Machines)
+	slices.SortFunc(c.sorted, func(a, b Machine) int { return cmp.Compare(a.Host, b.Host) })
+	c.workerLoads = make(map[string]map[string]WorkerLoad, len(o.Loads))
+	for pool, load := range o.Loads {
+		c.workerLoads[pool] = make(map[string]WorkerLoad, len(load.Workers))
+		for _, w := range load.Workers {
+			c.workerLoads[pool][w.Worker] = w
+		}
+	}
 	c.pools = make(map[string]Pool, len(o.Pools))
 	for _, p := range o.Pools {
 		c.pools[p.Name] = p
@@ -347,6 +360,10 @@
 		hosts = append(hosts, host)
 	}
 	slices.Sort(hosts)
+	unavailable := make(map[int64]int) // by wave
+	for n := range c.waves {
+		unavailable[n] = c.countUnavailable(n)
+	}
 	for _, host := range hosts {
 		op := c.ops[host]
 		if op.confirmed {
@@ -354,9 +371,12 @@
 		}
 		m := c.machines[host]
 		p.Evacuate[m.Pool] = append(p.Evacuate[m.Pool], m.Worker)
-		if op.inFlight || now < c.firstOrderAt || !c.orderDue(op, m, now) {
+		if op.inFlight || now < c.firstOrderAt || !c.orderDue(op, m, unavailable[op.order.Wave], now) {
 			continue
 		}
+		if op.order.Kind == OrderMaintenance && op.orderedAt == 0 {
+			unavailable[op.order.Wave]++
+		}
 		op.inFlight = true
 		op.orderedAt = now
 		op.worker = m.Worker
@@ -368,15 +388,16 @@
 	c.collectWaves(p)
 }
 
-// orderDue reports whether the order of an operation may be sent now.
-func (c *Controller) orderDue(op *operation, m Machine, now time.Duration) bool {
+// orderDue reports whether the order of an operation may be sent now. Unavailable is the number of machines of its wave
+// that are down or may be.
+func (c *Controller) orderDue(op *operation, m Machine, unavailable int, now time.Duration) bool {
 	if op.orderedAt > 0 && now-op.orderedAt < orderTimeout {
 		return false
 	}
 	if m.State != Up {
 		return op.orderedAt > 0 // resend an order that was not confirmed
 	}
-	if op.order.Kind == OrderMaintenance && op.orderedAt == 0 && !c.waves[op.order.Wave].permitsAnother(c.countUnavailable(op.order.Wave)) {
+	if op.order.Kind == OrderMaintenance && op.orderedAt == 0 && !c.waves[op.order.Wave].permitsAnother(unavailable) {
 		return false
 	}
 	return c.isEmpty(m) && c.outsideHandoverDelay(m, now)
@@ -401,28 +422,12 @@
 	if c.pools[m.Pool].Standby {
 		return true
 	}
-	for _, w := range c.observed.Loads[m.Pool].Workers {
-		if w.Worker == m.Worker {
-			return w.Evacuated
-		}
-	}
-	return false
+	w, _ := c.workerLoad(m)
+	return w.Evacuated
 }
 
 // workerLoad returns the load of a machine's worker as reported by the owner of its pool.
 func (c *Controller) workerLoad(m Machine) (WorkerLoad, bool) {
-	for _, w := range c.observed.Loads[m.Pool].Workers {
-		if w.Worker == m.Worker {
-			return w, true
-		}
-	}
-	return WorkerLoad{}, false
-}
-
-// sortedMachines returns the machines ordered by host, so that decisions do not depend on the order in which the
-// platform lists them.
-func (c *Controller) sortedMachines() []Machine {
-	ms := slices.Clone(c.observed.Machines)
-	slices.SortFunc(ms, func(a, b Machine) int { return cmp.Compare(a.Host, b.Host) })
-	return ms
+	w, ok := c.workerLoads[m.Pool][m.Worker]
+	return w, ok
 }
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -221,7 +221,7 @@
 func (c *Controller) movableMachines(balances map[string]*Balance, now time.Duration) []Machine {
 	var others []Machine
 	runs := make(map[string]int)
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.sorted {
 		if m.State != Up || c.ops[m.Host] != nil || c.pools[m.Pool].Standby {
 			continue
 		}
@@ -239,7 +239,7 @@
 // freeStandby returns the standby machines that are up and have no operation in progress.
 func (c *Controller) freeStandby() []Machine {
 	var out []Machine
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.sorted {
 		if m.State == Up && c.ops[m.Host] == nil && c.pools[m.Pool].Standby {
 			out = append(out, m)
 		}
@@ -259,7 +259,7 @@
 	if standby == "" {
 		return
 	}
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.sorted {
 		b := balances[m.Pool]
 		if b == nil || m.State != Up || c.ops[m.Host] != nil || !c.isIdle(m) || b.Size <= b.NeedIncludingLate {
 			continue
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -8,7 +8,7 @@
 
 // BenchmarkTick measures one scheduling pass under overload: all workers are full and jobs wait.
 func BenchmarkTick(b *testing.B) {
-	for _, workers := range []int{12, 85, 340} {
+	for _, workers := range []int{12, 50, 350, 1100, 10000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			now := Time{Steady: time.Hour, WallMs: 1_000_000}
 			p := New(Config{Pool: "pool", MinRunNumber: 1, MaxLease: time.Hour, FinishedRetention: time.Minute, CrossRackFactor: 2}, now)
--- a/job/commit.go
+++ b/job/commit.go
@@ -123,6 +123,7 @@
 		j.committing = false
 		if j.removed {
 			delete(p.jobs, id)
+			delete(p.open, id)
 			continue
 		}
 		j.stored = true
@@ -154,6 +155,7 @@
 			continue
 		}
 		delete(p.jobs, id)
+		delete(p.open, id)
 		delete(p.dirty, id)
 		out = append(out, id)
 		p.event(Event{Kind: "job withdrawn", Job: id, Queue: j.spec.Queue})
--- a/job/evacuate.go
+++ b/job/evacuate.go
@@ -1,9 +1,6 @@
 package job
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// availableProgress is the reported progress of a long-running task that is available.
@@ -23,8 +20,12 @@
 // budgets, checkpointable tasks move at once, and other tasks run to their end.
 func (p *Pool) Evacuate(ids []string) {
 	p.evacuationsKnown = true
+	evacuating := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		evacuating[id] = true
+	}
 	for _, w := range p.workers {
-		w.evacuating = slices.Contains(ids, w.info.ID)
+		w.evacuating = evacuating[w.info.ID]
 		w.fleetHoldUntil = 0
 	}
 }
--- a/job/load.go
+++ b/job/load.go
@@ -14,7 +14,7 @@
 	for _, w := range p.sortedWorkers() {
 		used := w.used.Share(capacity)
 		l.Used += used
-		l.LongRunning += w.usedBy(func(r *run) bool { return r.task.step.LongRunning }).Share(capacity)
+		l.LongRunning += w.usedLongRunning.Share(capacity)
 		l.UsedLate += used - w.used.Sub(w.usedBy((*run).late)).Share(capacity)
 		l.Workers = append(l.Workers, fleet.WorkerLoad{
 			Worker: w.info.ID, AgeMs: now.WallMs - w.incarnation, Runs: len(w.runs) + len(w.strays), LongRunning: w.longRunningTasks(), Evacuated: p.Evacuated(w.info.ID),
@@ -29,7 +29,7 @@
 // minWorkers returns how many workers are needed at least by the long-running steps that limit their tasks per worker.
 func (p *Pool) minWorkers() int {
 	least := 0
-	for _, j := range p.jobs {
+	for _, j := range p.open {
 		if j.phase != Active {
 			continue
 		}
@@ -75,7 +75,7 @@
 func (p *Pool) addPending(l *fleet.Load, machine Resources) {
 	requests := make(map[string]Resources)
 	late := Resources{}
-	for _, j := range p.jobs {
+	for _, j := range p.open {
 		if j.phase != Active {
 			continue
 		}
--- a/job/overload.go
+++ b/job/overload.go
@@ -45,12 +45,7 @@
 		if !w.listed || w.info.Draining || w.leaving {
 			continue
 		}
-		c = c.Add(w.info.Capacity)
-		for _, r := range w.runs {
-			if r.task.step.LongRunning {
-				c = c.Sub(r.task.step.reserved())
-			}
-		}
+		c = c.Add(w.info.Capacity).Sub(w.usedLongRunning)
 	}
 	return c
 }
--- a/job/pool.go
+++ b/job/pool.go
@@ -10,6 +10,9 @@
 // and leases.
 const housekeepingInterval = 40 * time.Millisecond
 
+// removalInterval is the time between checks for finished jobs to remove. They are kept for minutes.
+const removalInterval = time.Second
+
 // Config holds the timeouts and limits of a Pool.
 type Config struct {
 	Pool string
@@ -35,14 +38,19 @@
 
 // Pool is the state of the job manager for one pool of workers. It is not safe for concurrent use.
 type Pool struct {
-	cfg     Config
-	jobs    map[string]*jobState
+	cfg  Config
+	jobs map[string]*jobState
+	// open holds the jobs that are active or have tasks in memory. Most jobs have ended and are kept for their state only.
+	open    map[string]*jobState
 	workers map[string]*worker
-	orders  []Order
-	dirty   map[string]*jobState // jobs with uncommitted changes
+	// workersVersion increases when workers are added, changed or dropped.
+	workersVersion int64
+	orders         []Order
+	dirty          map[string]*jobState // jobs with uncommitted changes
 	// workerRecords holds uncommitted changes of the stored set of workers.
 	workerRecords    map[string]Record
 	lastHousekeeping time.Duration
+	lastRemoval      time.Duration // when finished jobs were last checked for removal
 	committing       bool
 	evacuationsKnown bool // the fleet controller has sent the set of workers to evacuate
 	endsUncommitted  bool // processed run ends, possibly of unknown jobs, wait for a commit
@@ -134,6 +142,7 @@
 	return &Pool{
 		cfg:           cfg,
 		jobs:          make(map[string]*jobState),
+		open:          make(map[string]*jobState),
 		workers:       make(map[string]*worker),
 		dirty:         make(map[string]*jobState),
 		workerRecords: make(map[string]Record),
@@ -170,6 +179,7 @@
 	if j.phase != Active {
 		return
 	}
+	p.open[lj.Spec.ID] = j
 	p.createDueOccurrences(j, now)
 	for _, r := range lj.progress.Tasks {
 		t := p.task(TaskID{Job: j.spec.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
@@ -298,9 +308,13 @@
 // housekeeping does time-based work.
 func (p *Pool) housekeeping(now Time) {
 	p.expire(now)
-	for id, j := range p.jobs {
+	for id, j := range p.open {
 		p.tickJob(id, j, now)
 	}
+	if now.Steady-p.lastRemoval >= removalInterval {
+		p.lastRemoval = now.Steady
+		p.removeOldJobs(now)
+	}
 	p.retryOrders(now)
 	p.evacuate(now)
 	p.adjustSpeeds(now)
@@ -313,13 +327,20 @@
 		p.explainWaiting(j, now)
 		return
 	}
-	if j.phase != Active && j.storedPhase == j.phase && j.occurrences != nil && !j.hasRuns() {
+	if j.phase != Active && j.storedPhase == j.phase && !j.hasRuns() {
 		j.occurrences = nil
 		j.spec = storedSpec(j)
+		delete(p.open, id)
 	}
-	if j.phase != Active && j.storedPhase == j.phase && now.WallMs-j.endMs > p.cfg.FinishedRetention.Milliseconds() {
-		j.removed = true
-		p.dirty[id] = j
+}
+
+// removeOldJobs removes the jobs whose state has been kept long enough.
+func (p *Pool) removeOldJobs(now Time) {
+	for id, j := range p.jobs {
+		if j.phase != Active && j.storedPhase == j.phase && now.WallMs-j.endMs > p.cfg.FinishedRetention.Milliseconds() {
+			j.removed = true
+			p.dirty[id] = j
+		}
 	}
 }
 
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -55,7 +55,7 @@
 // queue returns the occurrences with tasks to start in scheduling order.
 func (p *Pool) queue(now Time) []queueEntry {
 	var q []queueEntry
-	for _, j := range p.jobs {
+	for _, j := range p.open {
 		if !j.stored || j.phase != Active {
 			continue
 		}
--- a/job/submit.go
+++ b/job/submit.go
@@ -47,6 +47,7 @@
 		occurrences: make(map[int]*occurrence),
 	}
 	p.jobs[s.ID] = j
+	p.open[s.ID] = j
 	p.dirty[s.ID] = j
 	p.event(Event{Kind: "job submitted", Job: s.ID, Queue: s.Queue})
 	return Pending, 0
@@ -90,7 +91,7 @@
 // CountQueued counts the accepted jobs of a queue that have not started any task.
 func (p *Pool) CountQueued(queue string) int {
 	n := 0
-	for _, j := range p.jobs {
+	for _, j := range p.open {
 		if j.spec.Queue == queue && j.stored && j.phase == Active && !j.started {
 			n++
 		}
--- a/job/worker.go
+++ b/job/worker.go
@@ -39,6 +39,8 @@
 	leaseUntil time.Duration
 	runs       map[TaskID]*run
 	used       Resources
+	// usedLongRunning is the part of used that long-running tasks occupy.
+	usedLongRunning Resources
 	// strays are running tasks that belong to no known run. Their size is unknown, so no task starts on the worker
 	// while it has any.
 	strays map[TaskID]int
@@ -64,6 +66,7 @@
 		w.leaseUntil = p.createdAt.Steady + p.cfg.InheritedLease
 	}
 	p.workers[info.ID] = w
+	p.workersVersion++
 	return w
 }
 
@@ -75,6 +78,7 @@
 // UpdateDirectory applies a new directory listing: it adds new workers, updates known ones and marks the others as not
 // listed.
 func (p *Pool) UpdateDirectory(infos []WorkerInfo, now Time) {
+	p.workersVersion++
 	seen := make(map[string]bool, len(infos))
 	for _, info := range infos {
 		seen[info.ID] = true
@@ -109,6 +113,7 @@
 func (p *Pool) dropWorker(w *worker, now Time) {
 	p.loseRuns(w, "worker gone", now)
 	delete(p.workers, w.info.ID)
+	p.workersVersion++
 	if w.recordedIncarnation != 0 || w.restored {
 		key := keyWorker + w.info.ID
 		p.workerRecords[key] = Record{Key: key}
@@ -191,6 +196,9 @@
 	t, w := r.task, r.worker
 	delete(w.runs, t.id)
 	w.used = w.used.Sub(t.step.reserved())
+	if t.step.LongRunning {
+		w.usedLongRunning = w.usedLongRunning.Sub(t.step.reserved())
+	}
 	if t.run == r {
 		t.run = nil
 		t.readySince = now.Steady
@@ -207,6 +215,9 @@
 	t.job.started = true
 	w.runs[t.id] = r
 	w.used = w.used.Add(t.step.reserved())
+	if t.step.LongRunning {
+		w.usedLongRunning = w.usedLongRunning.Add(t.step.reserved())
+	}
 	return r
 }
 
@@ -280,6 +291,9 @@
 	ExtendLease bool
 }
 
+// WorkersVersion returns a number that increases whenever the workers or their addresses may have changed.
+func (p *Pool) WorkersVersion() int64 { return p.workersVersion }
+
 // Workers returns the status of all workers.
 func (p *Pool) Workers() []WorkerStatus {
 	var out []WorkerStatus
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -73,10 +73,11 @@
 	delay := minDialDelay
 	var downSince time.Time
 	for ctx.Err() == nil {
-		node, up := n.linkState(t)
-		if up {
+		node, l := n.linkTo(t)
+		if l != nil {
 			downSince = time.Time{}
 			delay = minDialDelay
+			l.waitUntilEnded(ctx)
 			n.sleepContext(ctx, linkPollInterval)
 			continue
 		}
@@ -102,10 +103,21 @@
 	}
 }
 
-func (n *Net) linkState(t *target) (node string, up bool) {
+// linkTo returns the node of a target and the link to it, or nil if there is none.
+func (n *Net) linkTo(t *target) (node string, l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return t.node, t.node != "" && n.links[t.node] != nil
+	if t.node == "" {
+		return "", nil
+	}
+	return t.node, n.links[t.node]
+}
+
+func (l *link) waitUntilEnded(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.ctx.Done():
+	}
 }
 
 func (n *Net) sleepContext(ctx context.Context, d time.Duration) {
