Carry the calls to the workers of large pools through relays

Cause: the owner of a pool makes all starts and report requests of the pool itself. Change: an owner keeps all decisions and sends its calls in batches to other nodes (package relay), one for 16 workers, in the worker's zone. A call names the time until which the relay may begin it, on the relay's clock, so that a paused relay does nothing with an old permission; calls that were not made are known as not made. Pools of fewer than 32 workers are called directly as before. Nodes connect to the owners of shards in use only. Weighed: a pool cut into parts with an owner each. It needs tokens that are comparable between the parts and a hand-over of workers and jobs when the number of parts changes; relays hold no state, so their number can change freely.

--- a/job/model_test.go
+++ b/job/model_test.go
@@ -11,7 +11,7 @@
 )
 
 // The model runs owners of one pool against workers and a store under random faults: orders and answers are lost, orders
-// are carried out late, workers are partitioned or restart, and owners are replaced without knowing it. To replay one
+// are carried out late or not sent, workers are partitioned or restart, and owners are replaced without knowing it. To replay one
 // schedule:
 //
 //	go test ./job -run TestModel -model.seed=N -model.schedules=1
@@ -325,6 +325,10 @@
 	w := m.workers[int(order.Worker[1]-'0')]
 	expires := m.now.Steady + modelLease
 	sent, incarnation := m.now.Steady, w.incarnation
+	if m.chance(0.03) {
+		m.send(func() { o.pool.applyResult(order, ResultNotSent, m.now) })
+		return
+	}
 	m.send(func() {
 		if w.unreachable(m.now) || w.incarnation != incarnation {
 			return
@@ -334,18 +338,26 @@
 		}
 		result, fenced := m.execute(o, w, order, expires)
 		m.send(func() {
-			switch {
-			case fenced:
+			if fenced {
 				o.ownerUntil = 0
-			case order.Kind == OrderStart:
-				o.pool.Started(order, result, m.now)
-			case order.Kind == OrderStop:
-				o.pool.Stopped(order, result, m.now)
+				return
 			}
+			o.pool.applyResult(order, result, m.now)
 		})
 	})
 }
 
+// applyResult passes the result of an order to the pool.
+func (p *Pool) applyResult(o Order, result Result, now Time) {
+	switch o.Kind {
+	case OrderStart:
+		p.Started(o, result, now)
+	case OrderStop:
+		p.Stopped(o, result, now)
+	case OrderSetSpeed:
+	}
+}
+
 func (m *model) requestReport(o *modelOwner, w *modelWorker) {
 	status, ok := o.pool.Status(w.id, m.now)
 	if !ok {
--- a/job/order.go
+++ b/job/order.go
@@ -55,6 +55,8 @@
 	ResultNoAnswer
 	// ResultInvalid means that the worker can never carry out the order.
 	ResultInvalid
+	// ResultNotSent means that the order was not sent to the worker and never will be.
+	ResultNotSent
 )
 
 func (p *Pool) enqueueOrder(o Order) { p.orders = append(p.orders, o) }
@@ -134,10 +136,12 @@
 		r.task.lastRun += runNumberGap
 		r.state = runActive
 		r.activeSince = now.Steady
-	case ResultRefused, ResultNoCapacity, ResultLeaseExpired, ResultInvalidTicket:
-		if result == ResultInvalidTicket {
+	case ResultRefused, ResultNoCapacity, ResultLeaseExpired, ResultInvalidTicket, ResultNotSent:
+		switch result {
+		case ResultNotSent:
+		case ResultInvalidTicket:
 			p.dropTicket(r.task, w)
-		} else {
+		default:
 			w.backoffUntil = max(w.backoffUntil, now.Steady+refusalBackoff)
 		}
 		if r.tries > 1 {
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/berylwharf/berylwharf/jobmanager"
 	"github.com/berylwharf/berylwharf/peer"
 	"github.com/berylwharf/berylwharf/platform"
+	"github.com/berylwharf/berylwharf/relay"
 )
 
 const (
@@ -32,6 +33,8 @@
 	settings  *jobmanager.Settings
 	log       *jobmanager.Log
 	node      *jobmanager.Node
+	workers   *relay.Workers
+	relay     *relay.Server
 	servers   []*http.Server
 	stopNode  context.CancelFunc
 	nodeDone  chan struct{}
@@ -43,13 +46,20 @@
 func Start(s *jobmanager.Settings, out io.Writer) (*Daemon, error) {
 	log := jobmanager.NewLog(out, s.Node)
 	log.Event(jobmanager.LogEvent{Component: "node", Event: "starting"})
-	peers, err := newPeers(s)
+	clock := jobmanager.SystemClock{}
+	d := &Daemon{settings: s, log: log, nodeDone: make(chan struct{}), peersDone: make(chan error, 1)}
+	peers, err := d.newPeers()
 	if err != nil {
 		return nil, err
 	}
-	clock := jobmanager.SystemClock{}
-	d := &Daemon{settings: s, log: log, nodeDone: make(chan struct{}), peersDone: make(chan error, 1)}
-	d.node = jobmanager.NewNode(s, newPlatform(s, log), peers, clock, log)
+	p := newPlatform(s, log)
+	d.relay = relay.NewServer(p.Workers, peers, clock)
+	d.workers = relay.NewWorkers(p.Workers, peers, clock)
+	p.Workers, p.Relays = d.workers, d.workers
+	d.node = jobmanager.NewNode(s, p, peers, clock, log)
+	if err := d.relay.RegisterMetrics(d.node.MetricsRegistry()); err != nil {
+		return nil, err
+	}
 	if err := d.listen(platform.NewCallerHandler(d.node, clock, log)); err != nil {
 		return nil, err
 	}
@@ -102,6 +112,8 @@
 
 func (d *Daemon) shutDown() {
 	d.node.Close()
+	d.workers.Close()
+	d.relay.Close()
 	d.stopPeers()
 	if err := <-d.peersDone; err != nil {
 		d.log.Event(jobmanager.LogEvent{Component: "peers", Event: "ended", Reason: err.Error()})
@@ -110,15 +122,20 @@
 	d.log.Close()
 }
 
-func newPeers(s *jobmanager.Settings) (*peer.Net, error) {
+// newPeers opens the listener for peers. The links are served only after the daemon has set its other fields.
+func (d *Daemon) newPeers() (*peer.Net, error) {
+	s := d.settings
 	l, err := net.Listen("tcp", s.Peers)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	return peer.New(peer.Config{
 		Node: s.Node, Incarnation: uint64(time.Now().UnixNano()), Key: s.PeerKey, Listener: l,
-		Heartbeat:   func() peer.Heartbeat { return peer.Heartbeat{Node: s.Node, Zone: s.Zone} },
-		OnHeartbeat: func(string, peer.Heartbeat) {},
+		Heartbeat: func() peer.Heartbeat {
+			return peer.Heartbeat{Node: s.Node, Zone: s.Zone, Draining: !d.node.Ready()}
+		},
+		OnHeartbeat: func(from string, hb peer.Heartbeat) { d.workers.Heartbeat(from, hb) },
+		OnLink:      func(node string, up bool) { d.workers.LinkChanged(node, up) },
 	})
 }
 
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -120,6 +120,8 @@
 	Worker       string
 	Addr         string
 	FencingToken int64 // the epoch of the owner
+	// Relay is the node that makes the call to the worker. It is empty if this node makes it.
+	Relay string
 }
 
 // RenewLeaseRequest extends the lease of the runs on a worker and asks the worker for a report.
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -47,6 +47,8 @@
 	status       job.WorkerStatus
 	clock        workerClock
 	lastAnswerAt time.Duration // steady time of the worker's last answer
+	relay        string        // node that calls the worker; empty if the owner does
+	directUntil  time.Duration // until then the owner calls the worker itself, although it has a relay
 }
 
 func newLink(s *shard, p *job.Pool, worker string) *link {
@@ -84,11 +86,22 @@
 		// The worker would answer at once, because it repeats ends that are not acknowledged.
 		r.Wait = 0
 	}
-	return r, l.target(), true
+	return r, l.target(now), true
 }
 
-func (l *link) target() Target {
-	return Target{Worker: l.worker, Addr: l.status.Info.Addr, FencingToken: l.shard.epoch}
+func (l *link) target(now job.Time) Target {
+	t := Target{Worker: l.worker, Addr: l.status.Info.Addr, FencingToken: l.shard.epoch}
+	if now.Steady >= l.directUntil {
+		t.Relay = l.relay
+	}
+	return t
+}
+
+// relayFailed makes the owner call the worker itself for directPeriod, if the failed call was made through a relay.
+func (l *link) relayFailed(t Target, now job.Time) {
+	if t.Relay != "" {
+		l.directUntil = now.Steady + directPeriod
+	}
 }
 
 // run polls the worker for reports until the link is closed.
@@ -112,7 +125,10 @@
 	reply, err := l.shard.node.workers.RenewLease(callCtx, target, req)
 	cancel()
 	if err != nil {
-		l.shard.runInLoop(ctx, func(job.Time) { l.pool.ReportFailed(l.worker) })
+		l.shard.runInLoop(ctx, func(now job.Time) {
+			l.pool.ReportFailed(l.worker)
+			l.relayFailed(target, now)
+		})
 	}
 	switch {
 	case err == nil:
@@ -184,7 +200,7 @@
 // send sends an order from its own goroutine. The expiry of a start's lease is computed now, so that a start that is
 // delayed in this process is already expired when it reaches the worker.
 func (l *link) send(ctx context.Context, o job.Order, now job.Time) {
-	target, expires := l.target(), l.leaseExpiry(now)
+	target, expires := l.target(now), l.leaseExpiry(now)
 	l.shard.node.wg.Go(func() {
 		select {
 		case l.orderSlots <- struct{}{}:
@@ -195,12 +211,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		result, err := l.shard.node.workers.Send(callCtx, target, o, expires)
-		l.handleResult(ctx, o, result, err)
+		l.handleResult(ctx, target, o, result, err)
 	})
 }
 
 // handleResult applies the result of an order.
-func (l *link) handleResult(ctx context.Context, o job.Order, result job.Result, err error) {
+func (l *link) handleResult(ctx context.Context, target Target, o job.Order, result job.Result, err error) {
 	if errors.Is(err, ErrFenced) {
 		l.shard.endOwnership("a worker has seen an order of a later owner")
 		return
@@ -214,6 +230,9 @@
 		if err == nil && provesWorkerAlive(result) {
 			l.lastAnswerAt = now.Steady
 		}
+		if result == job.ResultNoAnswer || result == job.ResultNotSent {
+			l.relayFailed(target, now)
+		}
 		switch o.Kind {
 		case job.OrderStart:
 			l.pool.Started(o, result, now)
@@ -226,7 +245,9 @@
 
 // provesWorkerAlive reports whether a result proves that the worker is alive. A refusal may mean that nothing listens
 // at its address.
-func provesWorkerAlive(r job.Result) bool { return r != job.ResultNoAnswer && r != job.ResultRefused }
+func provesWorkerAlive(r job.Result) bool {
+	return r != job.ResultNoAnswer && r != job.ResultRefused && r != job.ResultNotSent
+}
 
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
--- a/jobmanager/link_test.go
+++ b/jobmanager/link_test.go
@@ -16,7 +16,7 @@
 	var l *link
 	s.runInLoop(n.ctx, func(now job.Time) { l = newLink(s, s.pool("p", now), "w") })
 	answered := func(result job.Result, err error) bool {
-		l.handleResult(n.ctx, job.Order{Kind: job.OrderStop, Worker: "w"}, result, err)
+		l.handleResult(n.ctx, Target{}, job.Order{Kind: job.OrderStop, Worker: "w"}, result, err)
 		var at time.Duration
 		s.runInLoop(n.ctx, func(job.Time) {
 			at = l.lastAnswerAt
--- a/jobmanager/metrics.go
+++ b/jobmanager/metrics.go
@@ -29,6 +29,9 @@
 	metrics.GetOrRegisterCounter("job."+strings.ReplaceAll(kind, " ", "."), m.registry).Inc(1)
 }
 
+// MetricsRegistry returns the registry that Metrics serves.
+func (n *Node) MetricsRegistry() metrics.Registry { return n.metrics.registry }
+
 // Metrics serves the counters and histograms as JSON.
 func (n *Node) Metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -46,6 +46,8 @@
 	Workers   Workers
 	Machines  Machines
 	Advisor   Advisor
+	// Relays is nil if no other node can call workers for this node.
+	Relays Relays
 }
 
 // Node is a node of the job manager.
@@ -59,6 +61,7 @@
 	machines        Machines
 	advisor         Advisor
 	workers         Workers
+	relays          Relays
 	peers           *peer.Net
 	log             *Log
 	metrics         *nodeMetrics
@@ -80,6 +83,8 @@
 	storeDownSince        atomic.Int64 // steady time in nanoseconds since which reads of the owners fail; 0 if they succeed
 	strongSeenAt          atomic.Int64 // steady time in nanoseconds at which a strong member was last seen
 
+	connectedOwners map[int]string // owners to which connections are kept; used by followOwners only
+
 	mu     sync.Mutex
 	shards map[int]*shard
 	owners map[int]string // member by shard
@@ -98,6 +103,8 @@
 		settings: s, clock: clock, peers: peers, log: log,
 		store: p.Store, group: p.Group, directorySource: p.Directory, operators: p.Operators, workers: p.Workers,
 		machines:       p.Machines,
+		advisor:        p.Advisor,
+		relays:         p.Relays,
 		metrics:        newNodeMetrics(),
 		member:         memberName(s),
 		processID:      uuid.NewString(),
--- a/jobmanager/node_test.go
+++ b/jobmanager/node_test.go
@@ -1,10 +1,14 @@
 package jobmanager
 
 import (
+	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/berylwharf/berylwharf/job"
+	"github.com/berylwharf/berylwharf/peer"
 )
 
 // TestWeakNodesTakeOver guards against pools without an owner after the loss of all strong nodes, and against pools on
@@ -30,6 +34,36 @@
 	}
 }
 
+// testAdvisor reports the steps on which advice is requested.
+type testAdvisor chan job.StepID
+
+func (a testAdvisor) Advise(_ context.Context, r job.AdviceRequest) ([]job.Ticket, time.Duration, error) {
+	a <- r.Step
+	return nil, 0, nil
+}
+
+// TestAdvisorIsUsed guards against a node that ends with a nil dereference at the first queue that needs advice.
+func TestAdvisorIsUsed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peers, err := peer.New(peer.Config{Node: "n", Key: "a key of the tests", Listener: l})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	advisor := make(testAdvisor, 1)
+	n := NewNode(&Settings{Node: "n", Peers: "127.0.0.1:1", Shards: 1}, Platform{Advisor: advisor}, peers, SystemClock{}, NewLog(io.Discard, "n"))
+	defer n.Close()
+	s := newShard(n, 0)
+	n.wg.Go(func() { s.advise(job.New(job.Config{}, n.clock.Now()), job.AdviceRequest{Step: job.StepID{Job: "j"}}) })
+	if step := <-advisor; step.Job != "j" {
+		t.Errorf("advice on %+v was requested", step)
+	}
+	close(s.done) // the loop of the shard does not run
+}
+
 // TestMemberNames guards against a node that cannot be reached because its member name cannot be parsed.
 func TestMemberNames(t *testing.T) {
 	for _, s := range []*Settings{{Node: "n", Peers: "10.0.0.1:7"}, {Node: "n", Peers: "10.0.0.1:7", CPUShare: 0.1}} {
--- a/jobmanager/owners.go
+++ b/jobmanager/owners.go
@@ -38,11 +38,24 @@
 		}
 	}
 	n.mu.Lock()
-	changed := !maps.Equal(n.owners, owners)
 	n.owners = owners
 	n.mu.Unlock()
-	if changed {
-		n.peers.SetTargets(peerTargets(owners))
+	n.connectOwners(owners)
+}
+
+// connectOwners keeps connections open to the owners of the shards in use. The owners of empty shards are left out: in a
+// large fleet of small nodes, the heartbeats on connections between all nodes and all owners would use up much of the
+// owners' processor time.
+func (n *Node) connectOwners(owners map[int]string) {
+	used := make(map[int]string)
+	for number, member := range owners {
+		if n.isUsed(number) {
+			used[number] = member
+		}
+	}
+	if !maps.Equal(n.connectedOwners, used) {
+		n.connectedOwners = used
+		n.peers.SetTargets(peerTargets(used))
 	}
 }
 
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -76,14 +76,18 @@
 	pools            map[string]*job.Pool
 	loaded           *job.Loaded
 	links            map[string]*link
-	waiters          map[string][]waiter // by job; callers that wait for a commit
-	takeoverStart    job.Time
-	evacuationExpiry map[string]time.Duration // by pool; when its evacuation request expires
-	extraRecords     []job.Record             // records to store with the next commit
-	nonce            string                   // distinguishes the claim of this ownership from other claims
-	seq              int64                    // number of the last append
-	previousClaim    claim                    // claim of the previous owner
-	appendsClosed    bool                     // no append may follow the release record; later changes are left to the successor
+	relaysAssignedAt map[string]time.Duration // by pool; when its workers were last assigned to relays
+	// directoryVersions and workersVersions hold, by pool, the version of the directory that was applied and the version
+	// of the workers to which links are open.
+	directoryVersions, workersVersions map[string]int64
+	waiters                            map[string][]waiter // by job; callers that wait for a commit
+	takeoverStart                      job.Time
+	evacuationExpiry                   map[string]time.Duration // by pool; when its evacuation request expires
+	extraRecords                       []job.Record             // records to store with the next commit
+	nonce                              string                   // distinguishes the claim of this ownership from other claims
+	seq                                int64                    // number of the last append
+	previousClaim                      claim                    // claim of the previous owner
+	appendsClosed                      bool                     // no append may follow the release record; later changes are left to the successor
 	// releasing means that the shard is being handed over: no new jobs are accepted and no orders are sent.
 	releasing         atomic.Bool
 	commitStartedAt   time.Duration // start of the commit in progress; 0 if there is none
@@ -97,10 +101,12 @@
 func newShard(n *Node, number int) *shard {
 	s := &shard{
 		node: n, number: number, nonce: uuid.NewString(),
-		inbox:            make(chan func(job.Time), inboxSize),
-		done:             make(chan struct{}),
-		pools:            make(map[string]*job.Pool),
-		links:            make(map[string]*link),
+		inbox:             make(chan func(job.Time), inboxSize),
+		done:              make(chan struct{}),
+		pools:             make(map[string]*job.Pool),
+		links:             make(map[string]*link),
+		relaysAssignedAt:  make(map[string]time.Duration),
+		directoryVersions: make(map[string]int64), workersVersions: make(map[string]int64),
 		waiters:          make(map[string][]waiter),
 		evacuationExpiry: make(map[string]time.Duration),
 	}
@@ -233,7 +239,7 @@
 	s.endEvacuations(now)
 	for name, p := range s.pools {
 		p.Tick(now)
-		s.syncLinks(p)
+		s.syncLinks(name, p, now)
 		for _, o := range p.TakeOrders() {
 			if l := s.links[o.Worker]; l != nil {
 				l.send(s.ctx, o, now)
@@ -269,11 +275,11 @@
 	}
 	s.loaded.Specs = nil
 	entries, version := s.node.directory()
-	if version == 0 {
-		return
-	}
 	for name, p := range s.pools {
-		p.UpdateDirectory(entries[name], now)
+		if s.directoryVersions[name] != version {
+			s.directoryVersions[name] = version
+			p.UpdateDirectory(entries[name], now)
+		}
 	}
 }
 
@@ -304,9 +310,17 @@
 }
 
 // syncLinks opens a link to each worker of a pool and closes links to workers that the pool has forgotten.
-func (s *shard) syncLinks(p *job.Pool) {
-	known := make(map[string]bool)
-	for _, w := range p.Workers() {
+func (s *shard) syncLinks(pool string, p *job.Pool, now job.Time) {
+	changed := s.workersVersions[pool] != p.WorkersVersion()
+	if !changed && now.Steady-s.relaysAssignedAt[pool] < relayAssignInterval {
+		return
+	}
+	s.workersVersions[pool] = p.WorkersVersion()
+	s.relaysAssignedAt[pool] = now.Steady
+	workers := p.Workers()
+	defer s.assignPoolRelays(pool, workers)
+	known := make(map[string]bool, len(workers))
+	for _, w := range workers {
 		known[w.Info.ID] = true
 		if l := s.links[w.Info.ID]; l != nil {
 			l.status.Info = w.Info
