fleet, job: protect small demands when machines are scarce; do not count evacuated workers

Change: a pool gets its demand up to an equal share, the rest is divided in proportion as before. Evacuated workers are left out of the capacity by which jobs are admitted and ranked. Pools may grow to 1,000 machines, since relays call their workers (300 before, less than the peaks of two queues of the large site need).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -139,7 +139,9 @@
 type Balance struct {
 	Pool string
 	Size int // machines in the pool, including those moving in and excluding those moving out
-	Need int // machines needed for long-running tasks and for jobs that can meet their objective
+	// Demand is the number of machines needed for long-running tasks and for jobs that can meet their objective, Need is
+	// Demand plus the headroom for the start of a load peak.
+	Demand, Need int
 	// Allocation is the part of Need that the pool is granted. It is less than Need while the pools together need more
 	// machines than exist.
 	Allocation int
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -20,9 +20,8 @@
 	demandWindow = 2 * time.Second
 	// minPoolSize is the minimum size of a pool.
 	minPoolSize = 3
-	// maxPoolSize is the size up to which a pool is grown. It is bounded because a single owner polls every worker of
-	// the pool. The system is designed for 10,000 workers in 34 pools.
-	maxPoolSize = 300
+	// maxPoolSize is the size up to which a pool is grown. It is bounded because a single owner decides for the pool.
+	maxPoolSize = 1000
 	// moveCooldown is the minimum time that a machine stays in a pool before it is moved again.
 	moveCooldown = 2500 * time.Millisecond
 	// standbyIdleTime is how long a machine must be idle before it is moved to standby.
@@ -71,8 +70,9 @@
 		if c.pools[pool].Standby {
 			continue
 		}
-		need := int(c.forecast(pool, load)/targetUtilization) + c.fleetFraction(headroomShare)
-		b := &Balance{Pool: pool, Need: min(maxPoolSize, max(minPoolSize, load.MinMachines, need))}
+		demand := int(c.forecast(pool, load) / targetUtilization)
+		b := &Balance{Pool: pool, Demand: min(maxPoolSize, max(minPoolSize, load.MinMachines, demand))}
+		b.Need = min(maxPoolSize, max(b.Demand, demand+c.fleetFraction(headroomShare)))
 		b.NeedIncludingLate = min(maxPoolSize, b.Need+int((load.UsedLate+load.WaitingLate)/targetUtilization))
 		out[pool] = b
 	}
@@ -90,21 +90,32 @@
 	return out
 }
 
-// allocate divides the machines among the pools in proportion to their needs when the pools together need more than
-// exist.
+// allocate divides the machines among the pools when the pools together need more than exist. Each pool gets its demand
+// up to an equal share of the machines. What is left is divided in proportion to what the pools need beyond that.
 //
 // Without this, when two load peaks overlap, the pool that peaks first would hold all machines and the other would get
-// none until the first peak ends.
+// none until the first peak ends. Shares in proportion to need alone would starve the pools that need little.
 func (c *Controller) allocate(balances map[string]*Balance) {
 	need, size := 0, len(c.freeStandby())
 	for _, b := range balances {
 		need += b.Need
 		size += b.Size
 	}
+	if need <= size {
+		for _, b := range balances {
+			b.Allocation = b.Need
+		}
+		return
+	}
+	left, rest := size, 0
 	for pool, b := range balances {
-		b.Allocation = b.Need
-		if need > size {
-			b.Allocation = max(min(b.Need, minPoolSize), c.observed.Loads[pool].MinMachines, b.Need*size/need)
+		b.Allocation = max(c.observed.Loads[pool].MinMachines, min(b.Demand, size/len(balances)))
+		left -= b.Allocation
+		rest += max(0, b.Need-b.Allocation)
+	}
+	for _, b := range balances {
+		if left > 0 && rest > 0 {
+			b.Allocation += max(0, b.Need-b.Allocation) * left / rest
 		}
 	}
 }
--- a/job/overload.go
+++ b/job/overload.go
@@ -38,11 +38,12 @@
 	return 0
 }
 
-// capacity returns the capacity for tasks that are not long-running.
+// capacity returns the capacity for tasks that are not long-running. Workers that are evacuated get no new tasks and do not
+// count.
 func (p *Pool) capacity() Resources {
 	var c Resources
 	for _, w := range p.workers {
-		if !w.listed || w.info.Draining || w.leaving {
+		if !w.listed || w.info.Draining || w.leaving || w.evacuating {
 			continue
 		}
 		c = c.Add(w.info.Capacity).Sub(w.usedLongRunning)
