jobmanager, peer: a panic ends one message or one ownership, not the process

Change: a handler's panic is logged, reported to the node and answered with an error; a shard's panic is logged with its stack, counted, and ends the ownership, so that the state is loaded from the store again. A panic in a goroutine that carries one call still ends the process. TestPanicOfHandler and TestPanicEndsOneOwnership end the test process without the change. Ruled out: going on with the shard after a panic, because its state may be inconsistent.

--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -136,6 +136,9 @@
 		},
 		OnHeartbeat: func(from string, hb peer.Heartbeat) { d.workers.Heartbeat(from, hb) },
 		OnLink:      func(node string, up bool) { d.workers.LinkChanged(node, up) },
+		OnPanic: func(_ string, reason error) {
+			d.log.Event(jobmanager.LogEvent{Component: "peers", Event: "handler panicked", Reason: reason.Error()})
+		},
 	})
 }
 
--- a/jobmanager/node_test.go
+++ b/jobmanager/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,6 +65,33 @@
 	close(s.done) // the loop of the shard does not run
 }
 
+// TestPanicEndsOneOwnership guards against an unexpected error in one shard that ends the process and with it the other
+// shards and all callers' requests.
+func TestPanicEndsOneOwnership(t *testing.T) {
+	s := newTestShard(t, &recordingStore{})
+	n := s.node
+	waiting := make(chan bool, 1)
+	s.runInLoop(n.ctx, func(job.Time) {})
+	s.inbox <- func(job.Time) { panic("unexpected") }
+	go func() { waiting <- s.runInLoop(n.ctx, func(job.Time) {}) }()
+	<-s.done
+	if <-waiting {
+		t.Error("a request was served after the panic")
+	}
+	if n.ctx.Err() != nil {
+		t.Error("the panic ended the node")
+	}
+	if cause := context.Cause(s.ctx); cause == nil || !strings.Contains(cause.Error(), "unexpected") {
+		t.Errorf("the ownership ended with the reason %v", cause)
+	}
+	n.shards = map[int]*shard{fleetShard: s}
+	n.refreshWorkers = make(chan struct{}, 1)
+	n.updateOwnership(Membership{Shards: []int{fleetShard}})
+	if next := n.shard(fleetShard); next == nil || next == s {
+		t.Error("the shard is not taken over again")
+	}
+}
+
 // TestMemberNames guards against a node that cannot be reached because its member name cannot be parsed.
 func TestMemberNames(t *testing.T) {
 	for _, s := range []*Settings{{Node: "n", Peers: "10.0.0.1:7"}, {Node: "n", Peers: "10.0.0.1:7", CPUShare: 0.1}} {
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -149,6 +151,7 @@
 // run takes over the shard and serves it until the ownership ends.
 func (s *shard) run() {
 	defer s.close()
+	defer s.recoverPanic()
 	s.takeoverStart = s.node.clock.Now()
 	if err := s.takeOver(); err != nil {
 		s.node.log.Event(LogEvent{Component: "shard", Event: "takeover failed", Shard: s.number, Epoch: s.epoch, Reason: err.Error()})
@@ -160,11 +163,34 @@
 		AgeMs: (s.node.clock.Now().Steady - s.takeoverStart.Steady).Milliseconds(),
 	})
 	if s.number == fleetShard {
-		s.node.wg.Go(func() { newFleetLoop(s).run() })
+		s.node.wg.Go(func() {
+			defer s.recoverPanic()
+			newFleetLoop(s).run()
+		})
 	}
 	s.serve()
 }
 
+// maxStackBytes limits the stack trace in a log line.
+const maxStackBytes = 2000
+
+// recoverPanic ends the ownership after a panic of one of the shard's goroutines. The state in memory may be inconsistent
+// then; the next owner, which may be this node, loads it from the store. The other shards and the callers of the node are
+// not affected.
+func (s *shard) recoverPanic() {
+	r := recover()
+	if r == nil {
+		return
+	}
+	stack := debug.Stack()
+	s.node.log.Event(LogEvent{
+		Component: "shard", Event: "panicked", Shard: s.number, Epoch: s.epoch,
+		Reason: fmt.Sprintf("%v: %s", r, stack[:min(len(stack), maxStackBytes)]),
+	})
+	s.node.metrics.count("shard panicked")
+	s.cancel(errors.Errorf("panic: %v", r))
+}
+
 // retry repeats a call to the store until it succeeds, is abandoned with errCommitRejected, fails with ErrFenced or
 // ErrLogExtended, or the ownership ends.
 func (s *shard) retry(f func(context.Context) error) error {
--- a/peer/net.go
+++ b/peer/net.go
@@ -67,7 +67,9 @@
 	Heartbeat   func() Heartbeat
 	OnHeartbeat func(from string, hb Heartbeat)
 	// OnLink is called when a link to a node is established or ends.
-	OnLink  func(node string, up bool)
+	OnLink func(node string, up bool)
+	// OnPanic is called when a handler panics. The message is answered with an error.
+	OnPanic func(msgType string, reason error)
 	Log     *logrus.Logger   // nil discards all output
 	Metrics metrics.Registry // nil creates a private registry
 }
@@ -298,7 +300,16 @@
 func (n *Net) preferred(l *link) bool { return l.dialed == (n.cfg.Node < l.peer.Node) }
 
 // serve calls the handler for the type of a frame.
-func (n *Net) serve(ctx context.Context, from string, f frame) (any, error) {
+func (n *Net) serve(ctx context.Context, from string, f frame) (reply any, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			reply, err = nil, errors.Errorf("the handler of %q panicked: %v", f.Type, r)
+			n.log.Errorf("peer: %v", err)
+			if n.cfg.OnPanic != nil {
+				n.cfg.OnPanic(f.Type, err)
+			}
+		}
+	}()
 	n.mu.Lock()
 	h := n.handlers[f.Type]
 	n.mu.Unlock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -295,3 +295,30 @@
 		t.Errorf("a heartbeat frame has %d bytes", len(b1))
 	}
 }
+
+// TestPanicOfHandler guards against one message that ends the process or the link of its sender.
+func TestPanicOfHandler(t *testing.T) {
+	panics := make(chan string, 2)
+	a := start(t, "a", nil)
+	b := start(t, "b", func(c *Config) { c.OnPanic = func(msgType string, _ error) { panics <- msgType } })
+	b.Handle("panic", func(context.Context, string, Body) (any, error) { panic("unexpected") })
+	a.SetTargets([]Target{{Node: "b", Addr: b.addr()}})
+	eventually(t, "link", func() bool { return echo(a.Net, "b", "x") == nil })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var remote *RemoteError
+	if err := a.Call(ctx, "b", "panic", "x", nil); !errors.As(err, &remote) {
+		t.Errorf("the call ended with %v, want an error of the other node", err)
+	}
+	if err := a.Send("b", "panic", "x"); err != nil {
+		t.Error(err)
+	}
+	for range 2 {
+		if msgType := <-panics; msgType != "panic" {
+			t.Errorf("a panic on %q is reported", msgType)
+		}
+	}
+	if err := echo(a.Net, "b", "after"); err != nil {
+		t.Errorf("the link does not work after the panic: %v", err)
+	}
+}
