fleet: divide the reserve for load peaks among the pools

Cause: each pool kept a tenth of the fleet beyond its demand, whatever the number of pools. With 34 pools, the size to design for, the pools together wanted more than three times the fleet, so nothing went on standby and machines were always divided as if they were scarce. Change: the pools together keep 40% of the fleet, in equal parts. With four pools, as on all sites of the users, nothing changes.

--- a/fleet/move.go
+++ b/fleet/move.go
@@ -12,9 +12,9 @@
 	// targetUtilization is the utilization of a pool above which it needs more machines. Tasks do not fill machines
 	// completely.
 	targetUtilization = 0.85
-	// headroomShare is the fraction of the fleet that each pool keeps beyond its demand, to absorb the start of a load
-	// peak.
-	headroomShare = 0.1
+	// headroomShare is the fraction of the fleet that the pools together keep beyond their demand, to absorb the start of a
+	// load peak. Each pool keeps the same part of it.
+	headroomShare = 0.4
 	// demandWindow is the time constant of the moving average from which the rise of demand is derived. It approximates
 	// the time until a moved machine serves tasks in its new pool.
 	demandWindow = 2 * time.Second
@@ -66,13 +66,20 @@
 // balances returns the balance of each pool whose owner answered.
 func (c *Controller) balances() map[string]*Balance {
 	out := make(map[string]*Balance)
+	pools := 0
+	for _, p := range c.pools {
+		if !p.Standby {
+			pools++
+		}
+	}
+	headroom := c.fleetFraction(headroomShare / float64(max(1, pools)))
 	for pool, load := range c.observed.Loads {
 		if c.pools[pool].Standby {
 			continue
 		}
 		demand := int(c.forecast(pool, load) / targetUtilization)
 		b := &Balance{Pool: pool, Demand: min(maxPoolSize, max(minPoolSize, load.MinMachines, demand))}
-		b.Need = min(maxPoolSize, max(b.Demand, demand+c.fleetFraction(headroomShare)))
+		b.Need = min(maxPoolSize, max(b.Demand, demand+headroom))
 		b.NeedIncludingLate = min(maxPoolSize, b.Need+int((load.UsedLate+load.WaitingLate)/targetUtilization))
 		out[pool] = b
 	}
