job: late jobs that expire no longer displace jobs that can be on time

Cause: a late job went ahead of all others in the last 0.7 s in which its result is of use. In a peak that asks for more than the pool can run, every accepted late job reaches that point about 3.5 s after its arrival; from then on such jobs took the whole capacity, new jobs became late and expired in turn. Change: expiring jobs go first only for as much work as all jobs that can be on time can wait for.

--- a/job/schedule.go
+++ b/job/schedule.go
@@ -15,7 +15,8 @@
 	// precedenceStarving is for expired jobs that have waited for a long time, so that each accepted job ends
 	// eventually.
 	precedenceStarving
-	// precedenceExpiring is for late jobs whose result becomes useless to the caller unless they start now.
+	// precedenceExpiring is for late jobs whose result becomes useless to the caller unless they start now, as far as jobs
+	// that can be on time can wait for them.
 	precedenceExpiring
 	precedenceOnTime
 	precedenceLate
@@ -69,22 +70,23 @@
 		}
 	}
 	slices.SortFunc(q, compareQueueEntries)
-	if p.demoteLate(q, now) {
+	spare, changed := p.demoteLate(q, now)
+	if p.demoteExpiring(q, spare) || changed {
 		slices.SortFunc(q, compareQueueEntries)
 	}
 	return q
 }
 
 // demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them. It
-// reports whether there are any.
+// returns how long all jobs that can be on time could wait longer, and whether it moved any occurrence.
 //
 // This keeps overload from making every job late: in deadline order alone, each job would start just when it can no
 // longer complete in time.
-func (p *Pool) demoteLate(q []queueEntry, now Time) bool {
+func (p *Pool) demoteLate(q []queueEntry, now Time) (spare time.Duration, found bool) {
 	capacity := p.capacity()
 	ahead := p.runningWork(capacity)
 	total := ahead
-	found := false
+	spare = expiryWindow
 	for i := range q {
 		w := &q[i]
 		if w.precedence == precedenceLongRunning {
@@ -100,9 +102,32 @@
 			found = true
 			continue
 		}
+		spare = min(spare, w.latestStart-now.Steady-ahead)
 		ahead += work
 	}
 	p.backlog = backlog{onTime: ahead, total: total}
+	return spare, found
+}
+
+// demoteExpiring moves expiring occurrences behind those that can be on time, except for as much work as these can wait
+// for. It reports whether it moved any.
+//
+// In a long peak, every late job expires sooner or later. If all of them went first, they would take the whole capacity
+// and make the new jobs late, which would then expire in turn.
+func (p *Pool) demoteExpiring(q []queueEntry, spare time.Duration) bool {
+	capacity := p.capacity()
+	found := false
+	for i := range q {
+		w := &q[i]
+		if w.precedence != precedenceExpiring {
+			continue
+		}
+		spare -= p.pendingWork(w, capacity)
+		if spare < 0 {
+			w.precedence = precedenceLate
+			found = true
+		}
+	}
 	return found
 }
 
