jobmanager: release the fleet controller's lock when planning panics

Cause: a panic in a planning round is recovered since, but it left the lock held, so that orders in flight and the close of the node would wait for ever (found while reading the diff). Change: the round plans in a function that unlocks with defer. Nothing else changes.

--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -112,12 +112,7 @@
 	if !f.node.confirmed(now) || f.shard.releasing.Load() {
 		return
 	}
-	f.mu.Lock()
-	f.controller.Observe(fleet.Observation{
-		Machines: f.machines, Pools: fleetPools(config), Loads: loads, Waves: f.node.declaredWaves(),
-	}, now.Steady)
-	plan := f.controller.Plan(now.Steady)
-	f.mu.Unlock()
+	plan := f.plan(config, loads, now)
 	f.evacuate = plan.Evacuate
 	f.logBalances(plan, now)
 	f.node.machineOrdersInFlight.Add(int32(len(plan.Orders)))
@@ -128,6 +123,16 @@
 	f.publishWaves(plan)
 }
 
+// plan executes one round of the controller.
+func (f *fleetLoop) plan(config *Config, loads map[string]fleet.Load, now job.Time) fleet.Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.controller.Observe(fleet.Observation{
+		Machines: f.machines, Pools: fleetPools(config), Loads: loads, Waves: f.node.declaredWaves(),
+	}, now.Steady)
+	return f.controller.Plan(now.Steady)
+}
+
 // logBalances logs the size and need of each pool.
 func (f *fleetLoop) logBalances(plan fleet.Plan, now job.Time) {
 	if now.Steady-f.loggedAt < balanceLogInterval {
