job, jobmanager: check jobs that are loaded from the store or forwarded by a node

Only callers' submissions were checked. Ruled out: refusing to take over the shard, which would stop all its jobs for one record.

--- a/job/record.go
+++ b/job/record.go
@@ -136,6 +136,12 @@
 		if v.Spec == nil || v.Spec.ID != rest {
 			return errors.New("the record has no specification, or the job identifier in it differs from the key")
 		}
+		if v.Phase == Active {
+			// A finished job is stored without its steps.
+			if err := v.Spec.Validate(); err != nil {
+				return err
+			}
+		}
 		l.Specs = append(l.Specs, LoadedJob{Phase: v.Phase, Spec: v.Spec, EndMs: v.EndMs})
 	case keyProgress:
 		var v progressRecord
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -226,13 +226,23 @@
 	n.peers.Handle(typeOwnerStopped, n.handleOwnerStopped)
 }
 
+// checkSubmission checks the job of a submission that another node forwards.
+func checkSubmission(c call) error {
+	if c.Spec == nil || c.Spec.Pool != c.Pool {
+		return errors.New("a submission without a job of the pool")
+	}
+	return c.Spec.Validate()
+}
+
 func (n *Node) handleCall(ctx context.Context, kind string, body peer.Body) (any, error) {
 	var c call
 	if err := peer.Decode(body, &c); err != nil {
 		return nil, errors.Wrap(peer.ErrMalformed, err.Error())
 	}
-	if kind == typeSubmit && c.Spec == nil {
-		return nil, errors.Wrap(peer.ErrMalformed, "a submission without a job")
+	if kind == typeSubmit {
+		if err := checkSubmission(c); err != nil {
+			return nil, errors.Wrap(peer.ErrMalformed, err.Error())
+		}
 	}
 	s := n.shard(n.shardOf(c.Pool))
 	if s == nil {
