relay: the test of silent relays bounds the time until the silence is noticed

Cause: guards were removed in turn to see which test finds it. A silence that is noticed a thousand times later was not found. Change: TestSilentRelayIsAvoided measures the time on the test's clock.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// waitForHeldMessage waits until a message to the held relay waits.
+func (f *fixture) waitForHeldMessage() {
+	f.t.Helper()
+	f.waitFor("a message to the relay", func() bool {
+		f.net.mu.Lock()
+		defer f.net.mu.Unlock()
+		return len(f.net.waiting["relay"]) > 0
+	})
+}
+
 // TestCallsThroughRelay guards against orders and reports that are changed or exchanged on their way.
 func TestCallsThroughRelay(t *testing.T) {
 	f := newFixture(t)
@@ -282,11 +292,7 @@
 		r, _ := f.send(testOrder(1))
 		result <- r
 	}()
-	f.waitFor("a message to the relay", func() bool {
-		f.net.mu.Lock()
-		defer f.net.mu.Unlock()
-		return len(f.net.waiting["relay"]) > 0
-	})
+	f.waitForHeldMessage()
 	f.relayClock.advance(callValidity + time.Millisecond)
 	f.net.release("relay")
 	if r := <-result; r != job.ResultNotSent {
@@ -325,11 +331,16 @@
 		r, _ := f.send(testOrder(1))
 		result <- r
 	}()
+	f.waitForHeldMessage()
+	silentSince := f.clock.Now().Steady
 	f.waitFor("the end of the call", func() bool {
 		f.clock.advance(checkInterval)
 		f.workers.check(f.clock.Now().Steady)
 		return len(result) == 1
 	})
+	if took := f.clock.Now().Steady - silentSince; took > 2*silenceTimeout {
+		t.Errorf("the silence was noticed after %v, want %v", took, silenceTimeout)
+	}
 	if r := <-result; r != job.ResultNoAnswer {
 		t.Errorf("got result %d, want no answer", r)
 	}
@@ -353,11 +364,7 @@
 		defer close(done)
 		_, _ = f.send(testOrder(1))
 	}()
-	f.waitFor("a message to the relay", func() bool {
-		f.net.mu.Lock()
-		defer f.net.mu.Unlock()
-		return len(f.net.waiting["relay"]) > 0
-	})
+	f.waitForHeldMessage()
 	f.workers.check(f.clock.Now().Steady)
 	f.clock.advance(10 * silenceTimeout)
 	f.workers.check(f.clock.Now().Steady)
