--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -32,6 +32,7 @@
 	"many-ends":     playManyEnds,
 	"two-owners":    playTwoOwners,
 	"dropped-route": playDroppedRoute,
+	"moved-route":   playMovedRoute,
 }
 
 // world holds everything that a case starts.
--- a/review/harness/requester.go
+++ b/review/harness/requester.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -38,6 +39,9 @@
 	mu       sync.Mutex
 	next     int
 	accepted map[string]time.Time
+	unknown  []string // answers 410 for accepted jobs
+	// askAfter is how long after its 200 a job is asked for; zero for never.
+	askAfter time.Duration
 }
 
 func newRequester(nodes []*node, r *recorder) *requester {
@@ -89,6 +93,9 @@
 			q.mu.Lock()
 			q.accepted[id] = time.Now()
 			q.mu.Unlock()
+			if q.askAfter > 0 {
+				q.askLater(path, id)
+			}
 			return true
 		}
 		if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
@@ -110,6 +117,28 @@
 	return status, body.State
 }
 
+// askLater asks for the state of an accepted job after askAfter, and notes an answer 410. No job is ever cancelled.
+func (q *requester) askLater(path, id string) {
+	time.AfterFunc(q.askAfter, func() {
+		n := q.nextNode()
+		status, _ := q.state(n, path, id)
+		if status != http.StatusGone {
+			return
+		}
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.unknown = append(q.unknown, fmt.Sprintf("job %s, accepted at %.3f s: GET at %s is answered 410 at %.3f s",
+			id, q.record.seconds(q.accepted[id]), n.name, q.record.seconds(time.Now())))
+	})
+}
+
+// findUnknown returns the answers 410 that askLater noted.
+func (q *requester) findUnknown() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Clone(q.unknown)
+}
+
 // findLost asks for all accepted jobs and returns those that are unknown (410) or not completed.
 func (q *requester) findLost(path string) []string {
 	var out []string
