--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -132,7 +132,7 @@
 // playManyEnds: the store is down while small work units end.
 func playManyEnds(w *world, trouble bool) ([]string, error) {
 	services := []string{"booking"}
-	if err := w.open(3, map[string]int{"booking": 3}, config(3, services, queue("slot-match", "booking"))); err != nil {
+	if err := w.open(3, map[string]int{"booking": 2}, config(3, services, queue("slot-match", "booking"))); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -144,8 +144,8 @@
 		w.store.setDown(false)
 	}()
 	// The demand is more than the pool holds, as in the peaks of the deployments.
-	steps := []step{{Count: 40, CPU: 250, MemMB: 256, EstimateMs: 500}}
-	w.traffic(60, 12*time.Second, "/slot-match/", "ms=500", steps)
+	steps := []step{{Count: 40, CPU: 250, MemMB: 256, EstimateMs: 250}}
+	w.traffic(80, 12*time.Second, "/slot-match/", "ms=250", steps)
 	time.Sleep(20*time.Second + finishTime)
 	for _, lost := range w.requester.findLost("/slot-match/") {
 		w.record.add("lost", "%s", lost)
