--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -52,11 +52,11 @@
 func jobID(n int) string { return fmt.Sprintf("%016x", 0x5c0e7a21d9000000+uint64(n)) }
 
 // traffic hands in jobs at a steady rate for a time, and waits for the answers.
-func (w *world) traffic(perSecond int, d time.Duration, path, spec string, steps []step) {
+func (w *world) traffic(perSecond int, d time.Duration, spec string, steps []step) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	for n := 0; time.Now().Before(end); n++ {
-		wg.Go(func() { w.requester.submit(path, jobID(n), spec, steps) })
+		wg.Go(func() { w.requester.submit(jobID(n), spec, steps) })
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	wg.Wait()
@@ -77,7 +77,7 @@
 	const rounds = 4
 	const firstTraffic = 16 * time.Second
 	services := []string{"booking"}
-	if err := w.open(8, map[string]int{"booking": 4}, config(3, services, queue("slot-match", "booking"))); err != nil {
+	if err := w.open(8, map[string]int{"booking": 4}, config(3, services, queue(jobQueue, "booking"))); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -98,12 +98,12 @@
 	}()
 	steps := []step{{Count: 3, CPU: 4000, MemMB: 1024, EstimateMs: 800}}
 	w.requester.askAfter = askTime
-	w.traffic(28, firstTraffic+rounds*(calmTime+outage)+time.Second, "/slot-match/", "ms=800", steps)
+	w.traffic(28, firstTraffic+rounds*(calmTime+outage)+time.Second, "ms=800", steps)
 	time.Sleep(5*time.Second + finishTime)
 	for _, repeat := range findRepeats(w.workers, w.record) {
 		w.record.add("twice", "%s", repeat)
 	}
-	return append(w.requester.findUnknown(), w.requester.findLost("/slot-match/")...), nil
+	return append(w.requester.findUnknown(), w.requester.findLost()...), nil
 }
 
 // reassignTwice reassigns all partitions when the owner of a service's partition joins, and once more when a third member
@@ -132,7 +132,7 @@
 // playManyEnds: the store is down while small work units end.
 func playManyEnds(w *world, trouble bool) ([]string, error) {
 	services := []string{"booking"}
-	if err := w.open(3, map[string]int{"booking": 2}, config(3, services, queue("slot-match", "booking"))); err != nil {
+	if err := w.open(3, map[string]int{"booking": 2}, config(3, services, queue(jobQueue, "booking"))); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -145,9 +145,9 @@
 	}()
 	// The demand is more than the pool holds, as in the peaks of the deployments.
 	steps := []step{{Count: 40, CPU: 250, MemMB: 256, EstimateMs: 250}}
-	w.traffic(80, 12*time.Second, "/slot-match/", "ms=250", steps)
+	w.traffic(80, 12*time.Second, "ms=250", steps)
 	time.Sleep(20*time.Second + finishTime)
-	for _, lost := range w.requester.findLost("/slot-match/") {
+	for _, lost := range w.requester.findLost() {
 		w.record.add("lost", "%s", lost)
 	}
 	return findRepeats(w.workers, w.record), nil
@@ -164,7 +164,7 @@
 // one that starts the jobs' work units.
 func playDroppedRoute(w *world, trouble bool) ([]string, error) {
 	services := []string{"booking", "kiosk"}
-	both := []route{queue("slot-match", "booking"), queue("walkin-book", "kiosk")}
+	both := []route{queue(jobQueue, "booking"), queue("walkin-book", "kiosk")}
 	if err := w.open(rollFleet, map[string]int{"booking": 3, "kiosk": 3}, config(3, services, both...)); err != nil {
 		return nil, err
 	}
@@ -175,12 +175,12 @@
 			steps[i].DependsOn = []int{i - 1}
 		}
 	}
-	w.traffic(5, time.Second, "/slot-match/", "ms=2000", steps)
+	w.traffic(5, time.Second, "ms=2000", steps)
 	kept := both
 	if trouble {
 		kept = both[1:]
 	}
-	w.publish("config", config(8, services, kept...))
+	w.publishConfig(config(8, services, kept...))
 	time.Sleep(2 * time.Second)
 	if err := w.roll("booking", rolledNodes); err != nil {
 		return nil, err
@@ -256,27 +256,27 @@
 func playMovedRoute(w *world, trouble bool) ([]string, error) {
 	services := []string{"booking", "kiosk"}
 	other := queue("walkin-book", "kiosk")
-	if err := w.open(3, map[string]int{"booking": 3, "kiosk": 3}, config(3, services, queue("slot-match", "booking"), other)); err != nil {
+	if err := w.open(3, map[string]int{"booking": 3, "kiosk": 3}, config(3, services, queue(jobQueue, "booking"), other)); err != nil {
 		return nil, err
 	}
 	steps := []step{{Count: 6, CPU: 3500, MemMB: 7200, EstimateMs: 8000}}
-	w.traffic(5, time.Second, "/slot-match/", "ms=8000", steps)
+	w.traffic(5, time.Second, "ms=8000", steps)
 	backend := "booking"
 	if trouble {
 		backend = "kiosk"
-		w.publish("config", config(8, services, other))
+		w.publishConfig(config(8, services, other))
 	} else {
-		w.publish("config", config(8, services, queue("slot-match", backend), other))
+		w.publishConfig(config(8, services, queue(jobQueue, backend), other))
 	}
 	time.Sleep(time.Second)
-	w.publish("config", config(13, services, queue("slot-match", backend), other))
+	w.publishConfig(config(13, services, queue(jobQueue, backend), other))
 	// A version is in force everywhere after configMs, 2 s.
 	time.Sleep(3 * time.Second)
 	for id := range w.requester.accepted {
-		status, state := w.requester.state(w.requester.nextNode(), "/slot-match/", id)
+		status, state := w.requester.state(w.requester.nextNode(), id)
 		w.record.add("requester", "GET %s: %d, state %q", id, status, state)
 	}
-	w.traffic(5, time.Second, "/slot-match/", "ms=8000", steps)
+	w.traffic(5, time.Second, "ms=8000", steps)
 	time.Sleep(10*time.Second + finishTime)
 	return findRepeats(w.workers, w.record), nil
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -140,7 +140,7 @@
 		w.store.log.Put(serversTopic, x.id, x.entry(1))
 	}
 	w.machines = httptest.NewServer(&machineService{workers: w.workers, record: w.record})
-	w.publish("config", config)
+	w.publishConfig(config)
 	for i := range nodes {
 		n, err := newNode(w.binary, w.dir, fmt.Sprintf("edge-%d", i+1), w.storeServer.Listener.Addr().String(), w.machines.Listener.Addr().String(), w.record)
 		if err != nil {
@@ -158,10 +158,10 @@
 	return nil
 }
 
-// publish writes an operator's record.
-func (w *world) publish(key string, value []byte) {
-	w.store.log.Put(opTopic, key, value)
-	w.record.add("operator", "%s published: %s", key, value)
+// publishConfig writes a version of the configuration.
+func (w *world) publishConfig(value []byte) {
+	w.store.log.Put(opTopic, "config", value)
+	w.record.add("operator", "configuration: %s", value)
 }
 
 func (w *world) close() {
--- a/review/harness/requester.go
+++ b/review/harness/requester.go
@@ -14,6 +14,9 @@
 
 const (
 	queueHost = "booking.example"
+	// jobQueue is the queue of all jobs, jobPath its path prefix.
+	jobQueue = "slot-match"
+	jobPath  = "/" + jobQueue + "/"
 	// timeBudget is how long a requester waits for an answer (X-Deadline-Ms).
 	timeBudget = 3 * time.Second
 	// maxAttempts is the number of attempts of a requester, the first one included.
@@ -80,21 +83,21 @@
 
 // submit hands a job in. After no answer, a 502 or a 504 it sends the job again to another node. It reports whether the job
 // was accepted.
-func (q *requester) submit(path, id, spec string, steps []step) bool {
+func (q *requester) submit(id, spec string, steps []step) bool {
 	body, err := json.Marshal(map[string]any{"spec": spec, "steps": steps})
 	if err != nil {
 		return false
 	}
 	for range maxAttempts {
 		n := q.nextNode()
-		status, _ := q.call(n, http.MethodPost, path+id, body)
+		status, _ := q.call(n, http.MethodPost, jobPath+id, body)
 		q.record.add("requester", "POST %s at %s: %d", id, n.name, status)
 		if status/100 == 2 {
 			q.mu.Lock()
 			q.accepted[id] = time.Now()
 			q.mu.Unlock()
 			if q.askAfter > 0 {
-				q.askLater(path, id)
+				q.askLater(id)
 			}
 			return true
 		}
@@ -107,8 +110,8 @@
 }
 
 // state asks one node for the state of a job.
-func (q *requester) state(n *node, path, id string) (int, string) {
-	status, data := q.call(n, http.MethodGet, path+id, nil)
+func (q *requester) state(n *node, id string) (int, string) {
+	status, data := q.call(n, http.MethodGet, jobPath+id, nil)
 	var body struct {
 		State string `json:"state"`
 	}
@@ -118,10 +121,10 @@
 }
 
 // askLater asks for the state of an accepted job after askAfter, and notes an answer 410. No job is ever cancelled.
-func (q *requester) askLater(path, id string) {
+func (q *requester) askLater(id string) {
 	time.AfterFunc(q.askAfter, func() {
 		n := q.nextNode()
-		status, _ := q.state(n, path, id)
+		status, _ := q.state(n, id)
 		if status != http.StatusGone {
 			return
 		}
@@ -140,7 +143,7 @@
 }
 
 // findLost asks for all accepted jobs and returns those that are unknown (410) or not completed.
-func (q *requester) findLost(path string) []string {
+func (q *requester) findLost() []string {
 	var out []string
 	q.mu.Lock()
 	accepted := make(map[string]time.Time, len(q.accepted))
@@ -150,7 +153,7 @@
 	q.mu.Unlock()
 	for id, at := range accepted {
 		n := q.nextNode()
-		status, state := q.state(n, path, id)
+		status, state := q.state(n, id)
 		if status == http.StatusOK && state == "completed" {
 			continue
 		}
