--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -67,14 +67,22 @@
 // given their ports, so that none of them takes a port before a node listens on it.
 const firstPort, portCount = 12000, 16000
 
-// freeAddrs returns free loopback addresses.
+// givenPorts holds the ports that freeAddrs has returned, as a node may not listen yet when the next one is given its ports.
+var givenPorts = make(map[int]bool)
+
+// freeAddrs returns free loopback addresses, each only once.
 func freeAddrs(count int) ([]string, error) {
 	var out []string
 	for tries := 0; len(out) < count && tries < portCount; tries++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		port := firstPort + rand.IntN(portCount)
+		if givenPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
+		givenPorts[port] = true
 		defer func() { _ = l.Close() }()
 		out = append(out, l.Addr().String())
 	}
