--- a/review/harness2/worker.go
+++ b/review/harness2/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -76,46 +77,41 @@
 	w.failing = on
 }
 
-// start begins a life of the worker, at its earlier address if it had one.
+// start begins a life of the worker, at its earlier address if it had one. The store has its entry before the worker
+// listens.
 func (w *worker) start(kind string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	addr := w.addr
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", addr)
+	l, err := net.Listen("tcp", cmp.Or(w.addr, "127.0.0.1:0"))
 	if err != nil {
 		return err
 	}
 	w.addr, w.kind, w.up, w.born = l.Addr().String(), kind, true, time.Now()
 	w.fence, w.expiry, w.finished, w.lastSeq, w.beats = 0, time.Time{}, nil, 0, 0
 	w.running, w.highest = make(map[string]*taskRun), make(map[string]int)
+	time.Sleep(storeLatency)
+	w.fleet.store.Put("keyed.servers", w.id, w.entry())
+	w.fleet.rec.line("worker %s of pool %s is registered at %s, kind %s, born %d", w.id, w.pool, w.addr, kind, w.born.UnixMilli())
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	server := w.server
 	go func() { _ = server.Serve(l) }()
-	go w.register(w.born)
-	w.fleet.rec.line("worker %s of pool %s starts at %s, kind %s, born %d", w.id, w.pool, w.addr, kind, w.born.UnixMilli())
+	go w.sendHeartbeats(w.born)
 	return nil
 }
 
-// register writes the worker's entry at its start and at each heartbeat, until this life ends.
-func (w *worker) register(born time.Time) {
+// sendHeartbeats writes the worker's entry again at each heartbeat, until this life ends.
+func (w *worker) sendHeartbeats(born time.Time) {
 	for {
-		time.Sleep(storeLatency)
+		time.Sleep(heartbeatInterval)
 		w.mu.Lock()
 		alive := w.up && w.born.Equal(born)
-		entry, first := w.entry(), w.beats == 0
 		w.beats++
+		entry := w.entry()
 		w.mu.Unlock()
 		if !alive {
 			return
 		}
 		w.fleet.store.Put("keyed.servers", w.id, entry)
-		if first {
-			w.fleet.rec.line("worker %s is registered, born %d", w.id, born.UnixMilli())
-		}
-		time.Sleep(heartbeatInterval)
 	}
 }
 
