--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -55,15 +57,24 @@
 		return exitNotRun
 	}
 	defer f.close()
-	time.AfterFunc(maxDuration, func() {
-		fmt.Fprintln(os.Stderr, "harness2: the case took too long")
-		f.close()
-		os.Exit(exitNotRun)
-	})
+	go abortOnSignal(f)
 	broken, err := play(f, *trouble)
 	return report(rec, broken, err)
 }
 
+// abortOnSignal ends all processes of the fleet and exits when this process is told to stop or takes too long.
+func abortOnSignal(f *fleet) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-signals:
+	case <-time.After(maxDuration):
+	}
+	fmt.Fprintln(os.Stderr, "harness2: the case was stopped or took too long")
+	f.close()
+	os.Exit(exitNotRun)
+}
+
 // report prints and records the verdict and returns the exit code.
 func report(rec *record, broken []string, err error) int {
 	if err != nil {
