review: case 8, a replaced owner answers a cancel with 410

Cause: an owner that does not know yet that its shard was given away answers 'no such job' from its memory, which stores nothing and so is not refused.

--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -17,6 +17,8 @@
 	shardCount = 8
 	// defaultStatusS is status_s of the sites.
 	defaultStatusS = 120 * time.Second
+	// startInterval is the time between the starts of two nodes; all start within 0.3 s.
+	startInterval = 140 * time.Millisecond
 	// moveTime is how long a machine takes to join another pool.
 	moveTime = 1500 * time.Millisecond
 	// storeLatency is how long the store takes to answer a worker.
@@ -58,10 +60,13 @@
 	options options
 	rec     *record
 	store   *standin.Store
+	group   *group
 	nodes   []*node
 	client  *http.Client
 	servers []*http.Server
-	temp    string
+	// storeAddr is the address of the store.
+	storeAddr string
+	temp      string
 
 	mu         sync.Mutex
 	hosts      []*host
@@ -71,7 +76,7 @@
 }
 
 func newFleet(o options, binary, logs string, rec *record) (*fleet, error) {
-	f := &fleet{options: o, rec: rec, store: standin.NewStore(shardCount), client: newClient()}
+	f := &fleet{options: o, rec: rec, store: standin.NewStore(shardCount), group: newGroup(), client: newClient()}
 	temp, err := os.MkdirTemp("", "review2-")
 	if err != nil {
 		return nil, err
@@ -100,10 +105,11 @@
 }
 
 func (f *fleet) start(binary, logs string) error {
-	storeAddr, err := f.serve(f.store)
+	storeAddr, err := f.serve(http.HandlerFunc(f.serveStore))
 	if err != nil {
 		return err
 	}
+	f.storeAddr = storeAddr
 	machinesAddr, err := f.serve(http.HandlerFunc(f.serveMachines))
 	if err != nil {
 		return err
@@ -122,6 +128,7 @@
 			return err
 		}
 		f.nodes = append(f.nodes, n)
+		time.Sleep(startInterval)
 	}
 	for _, n := range f.nodes {
 		if err := n.awaitReady(); err != nil {
@@ -215,6 +222,20 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// serveStore is the store. The group of the nodes is that of this harness, the rest the project's stand-in.
+func (f *fleet) serveStore(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/berylwharf/log-join":
+		f.group.join(w, r)
+	case "/berylwharf/log-leave":
+		f.group.leave(w, r)
+	case "/berylwharf/log-owners":
+		f.group.list(w)
+	default:
+		f.store.ServeHTTP(w, r)
+	}
+}
+
 // serveMachines is the machine service.
 func (f *fleet) serveMachines(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,6 +28,7 @@
 	"kind":   kindCase,
 	"moved":  movedCase,
 	"gang":   gangCase,
+	"cancel": cancelCase,
 }
 
 func main() { os.Exit(run()) }
