job: a ticket holds for one incarnation of a worker

A pool kept tickets by the name of the worker, so after a restart under the same name it sent starts with the ticket of the earlier incarnation, and it asked no more about a worker that an earlier incarnation was not eligible as.

Tickets and answered requests now name the incarnation that was known when the service was asked. A failed request leaves the tickets as they are; before, it dropped them, and the next request named only workers not asked about.

Shown by TestTicketEndsWithIncarnation, which failed before ("started ... with the ticket of an earlier incarnation").

--- a/job/advice.go
+++ b/job/advice.go
@@ -38,13 +38,21 @@
 
 // advice is what the owner knows about the tickets for a step.
 type advice struct {
-	tickets    map[string]string // by worker
-	validUntil time.Duration     // of the tickets
-	asked      map[string]bool   // workers named in answered requests
+	tickets    map[string]heldTicket // by worker
+	validUntil time.Duration         // of the tickets
+	asked      map[string]int64      // incarnations of the workers named in answered requests
+	requested  map[string]int64      // incarnations of the workers named in the request in progress
 	pending    bool
 	retryAt    time.Duration
 }
 
+// heldTicket is a ticket for one incarnation of a worker. Another incarnation rejects it, and the policy of the queue may
+// not permit that one to run the step.
+type heldTicket struct {
+	value       string
+	incarnation int64
+}
+
 func stepOf(t *task) StepID {
 	return StepID{Job: t.id.Job, Occurrence: t.id.Occurrence, Step: t.id.Step}
 }
@@ -52,10 +60,22 @@
 // ticket returns the valid ticket of a worker for a task, or an empty string.
 func (p *Pool) ticket(t *task, w *worker, now Time) string {
 	a := p.advice[stepOf(t)]
-	if a == nil || now.Steady+minTicketValidity > a.validUntil {
+	if a == nil || now.Steady+minTicketValidity > a.validUntil || !a.permits(w) {
 		return ""
 	}
-	return a.tickets[w.info.ID]
+	return a.tickets[w.info.ID].value
+}
+
+// permits reports whether the service has issued a ticket for a worker's incarnation. The ticket may have expired.
+func (a *advice) permits(w *worker) bool {
+	ticket, ok := a.tickets[w.info.ID]
+	return ok && ticket.incarnation == w.incarnation
+}
+
+// askedAbout reports whether an answered request named a worker's incarnation.
+func (a *advice) askedAbout(w *worker) bool {
+	incarnation, ok := a.asked[w.info.ID]
+	return ok && incarnation == w.incarnation
 }
 
 // requestAdvice requests tickets for a step when it has no valid ones. It names the workers that had a ticket and those
@@ -64,7 +84,7 @@
 	key := stepOf(t)
 	a := p.advice[key]
 	if a == nil {
-		a = &advice{asked: make(map[string]bool)}
+		a = &advice{asked: make(map[string]int64)}
 		p.advice[key] = a
 	}
 	valid := len(a.tickets) > 0 && now.Steady+minTicketValidity <= a.validUntil
@@ -72,10 +92,12 @@
 		return
 	}
 	r := AdviceRequest{Step: key}
+	requested := make(map[string]int64)
 	for _, w := range pass.usable {
-		_, known := a.tickets[w.info.ID]
-		if len(r.Workers) < maxAdviceWorkers && (known || !a.asked[w.info.ID]) && satisfiesConstraints(t.step, t, w) {
+		worthAsking := a.permits(w) || !a.askedAbout(w)
+		if len(r.Workers) < maxAdviceWorkers && worthAsking && satisfiesConstraints(t.step, t, w) {
 			r.Workers = append(r.Workers, w.info.ID)
+			requested[w.info.ID] = w.incarnation
 		}
 	}
 	if len(r.Workers) == 0 {
@@ -83,7 +105,7 @@
 		a.retryAt = now.Steady + adviceRetryDelay
 		return
 	}
-	a.pending = true
+	a.pending, a.requested = true, requested
 	p.adviceRequests = append(p.adviceRequests, r)
 }
 
@@ -94,7 +116,8 @@
 	return r
 }
 
-// ApplyAdvice applies the answer to an advice request. An unanswered request yields no tickets.
+// ApplyAdvice applies the answer to an advice request. An unanswered request has no validity and leaves the tickets as
+// they are.
 func (p *Pool) ApplyAdvice(r AdviceRequest, tickets []Ticket, valid time.Duration, asked time.Duration, now Time) {
 	a := p.advice[r.Step]
 	if a == nil {
@@ -104,14 +127,17 @@
 	if len(tickets) == 0 {
 		a.retryAt = now.Steady + adviceRetryDelay
 	}
-	if valid > 0 {
-		for _, id := range r.Workers {
-			a.asked[id] = true
-		}
+	if valid <= 0 {
+		return
 	}
-	a.tickets = make(map[string]string, len(tickets))
+	for _, id := range r.Workers {
+		a.asked[id] = a.requested[id]
+	}
+	a.tickets = make(map[string]heldTicket, len(tickets))
 	for _, t := range tickets {
-		a.tickets[t.Worker] = t.Value
+		if incarnation, ok := a.requested[t.Worker]; ok {
+			a.tickets[t.Worker] = heldTicket{value: t.Value, incarnation: incarnation}
+		}
 	}
 	// The validity counts from the request, because the answer may have been delayed.
 	a.validUntil = asked + valid
--- a/job/advice_test.go
+++ b/job/advice_test.go
@@ -33,3 +33,20 @@
 		t.Fatalf("requests %+v after a refused ticket, want one", requests)
 	}
 }
+
+// TestTicketEndsWithIncarnation guards against starts in an incarnation of a worker for which the advice service has not
+// issued a ticket.
+func TestTicketEndsWithIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	s := oneStep("x", 1, 1000)
+	s.NeedsAdvice = true
+	p.submit(s)
+	p.tick()
+	requests := p.TakeAdviceRequests()
+	p.Report(Report{Worker: "a", Incarnation: 2, SentAt: p.now.Steady}, p.now)
+	p.commit()
+	p.ApplyAdvice(requests[0], []Ticket{{Worker: "a", Value: "pass"}}, 3*time.Second, p.now.Steady, p.now)
+	if o := starts(p.tick()); len(o) != 0 {
+		t.Errorf("started %+v with the ticket of an earlier incarnation", o)
+	}
+}
