job: a task reserves only workers that may run it

Cause: from 10 s after a job has expired, each of its waiting tasks reserves a worker in each pass. The choice looked at label, limit and size but not at the ticket, so tasks that can start nowhere reserved all workers. The same held for a worker whose long-running tasks never leave enough capacity.

Ruled out: lost starts and workers that count as unusable; no start is ordered.

A reservation now needs eligibility and capacity beside the long-running tasks. Eligibility ignores the expiry of the ticket: the answer for a step does not change, and a reservation that lapsed at each renewal would let the task starve.

--- a/job/advice.go
+++ b/job/advice.go
@@ -78,6 +78,16 @@
 	return ok && incarnation == w.incarnation
 }
 
+// eligible reports whether a worker may run a task as far as the advice service is concerned. It ignores the expiry of
+// tickets, because a step stays eligible for the same workers and an expired ticket is renewed.
+func (p *Pool) eligible(t *task, w *worker) bool {
+	if !t.job.spec.NeedsAdvice {
+		return true
+	}
+	a := p.advice[stepOf(t)]
+	return a != nil && a.permits(w)
+}
+
 // requestAdvice requests tickets for a step when it has no valid ones. It names the workers that had a ticket and those
 // not asked about yet.
 func (p *Pool) requestAdvice(t *task, pass *pass, now Time) {
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -37,6 +37,31 @@
 	tp.Report(Report{Worker: worker, Incarnation: 1, SentAt: tp.now.Steady, Running: running}, tp.now)
 }
 
+// reportAll applies reports of workers without running tasks.
+func (tp *testPool) reportAll(workers ...string) {
+	for _, id := range workers {
+		tp.report(id)
+	}
+}
+
+// starve advances the time until a job that was accepted now starves. The leases of all workers are extended.
+func (tp *testPool) starve(s *Spec) {
+	tp.advance(expiryFactor*s.objective() + starvationTimeout + time.Second)
+	for id := range tp.workers {
+		tp.LeaseExtended(id, tp.now)
+	}
+}
+
+// indexOn returns the index of the only task that runs on a worker.
+func (tp *testPool) indexOn(worker string) int {
+	tp.t.Helper()
+	runs := tp.workers[worker].sortedRuns()
+	if len(runs) != 1 {
+		tp.t.Fatalf("%d runs on worker %s, want 1", len(runs), worker)
+	}
+	return runs[0].task.id.Index
+}
+
 // ends applies a report with the ended tasks of a worker.
 func (tp *testPool) ends(worker string, ended ...EndedTask) {
 	tp.Report(Report{Worker: worker, Incarnation: 1, SentAt: tp.now.Steady, Ended: ended}, tp.now)
--- a/job/place.go
+++ b/job/place.go
@@ -68,7 +68,7 @@
 // it and goes to a smaller task.
 func (ps *pass) reserveWorker(t *task) {
 	best := t.reservedWorker
-	if best == nil || !slices.Contains(ps.usable, best) || ps.reservedWorkers[best] || !satisfiesConstraints(t.step, t, best) {
+	if best == nil || !slices.Contains(ps.usable, best) || !ps.mayReserve(t, best) {
 		best = ps.leastLoaded(t)
 	}
 	t.reservedWorker = best
@@ -77,11 +77,18 @@
 	}
 }
 
-// leastLoaded returns the least loaded of the workers that could run a task if they were empty.
+// mayReserve reports whether a worker is not reserved for another task and could run a task once the short tasks there
+// have ended. Any other worker would be kept free in vain: its tasks end, and nothing takes their place.
+func (ps *pass) mayReserve(t *task, w *worker) bool {
+	return !ps.reservedWorkers[w] && ps.pool.eligible(t, w) && satisfiesConstraints(t.step, t, w) &&
+		t.step.reserved().Fits(w.info.Capacity.Sub(w.usedLongRunning))
+}
+
+// leastLoaded returns the least loaded of the workers that may be reserved for a task.
 func (ps *pass) leastLoaded(t *task) *worker {
 	var best *worker
 	for _, w := range ps.usable {
-		if ps.reservedWorkers[w] || !satisfiesConstraints(t.step, t, w) || !t.step.reserved().Fits(w.info.Capacity) {
+		if !ps.mayReserve(t, w) {
 			continue
 		}
 		if best == nil || w.used.Share(w.info.Capacity) < best.used.Share(best.info.Capacity) {
