job: evacuate a long-running task only if another worker may run it

An evacuation stopped a long-running task that could then start nowhere.

Shown by TestEvacuationNeedsEligibleWorker, which failed before ("stopped ... which no other worker may run").

--- a/job/advice_test.go
+++ b/job/advice_test.go
@@ -118,3 +118,24 @@
 		t.Errorf("started %+v with the ticket of an earlier incarnation", o)
 	}
 }
+
+// TestEvacuationNeedsEligibleWorker guards against stopping a long-running task that no other worker may run.
+func TestEvacuationNeedsEligibleWorker(t *testing.T) {
+	p := newTestPool(t, "a", "b")
+	s := longRunningSpec("x", 1, 1)
+	s.NeedsAdvice = true
+	p.submit(s)
+	p.tick()
+	p.ApplyAdvice(p.TakeAdviceRequests()[0], []Ticket{{Worker: "a", Value: "pass"}}, 3*time.Second, p.now.Steady, p.now)
+	o := starts(p.tick())
+	if len(o) != 1 {
+		t.Fatalf("%d starts, want 1", len(o))
+	}
+	p.Started(o[0], ResultDone, p.now)
+	p.advance(10 * time.Millisecond)
+	p.report("a", RunningTask{Task: o[0].Task, Run: o[0].Run, Progress: availableProgress})
+	p.Evacuate([]string{"a"})
+	if stopped := stops(p.tick()); len(stopped) != 0 {
+		t.Errorf("stopped %+v, which no other worker may run", stopped)
+	}
+}
--- a/job/evacuate.go
+++ b/job/evacuate.go
@@ -91,10 +91,11 @@
 	return now.Steady-r.worker.lastReportSentAt < maxReportAge
 }
 
-// fitsElsewhere reports whether another worker has capacity for the task of a run.
+// fitsElsewhere reports whether another worker may run the task of a run and has capacity for it.
 func (p *Pool) fitsElsewhere(r *run, now Time) bool {
 	for _, w := range p.workers {
-		if w != r.worker && w.usable(now) && satisfiesConstraints(r.task.step, r.task, w) && r.task.step.reserved().Fits(w.free()) {
+		if w != r.worker && w.usable(now) && p.eligible(r.task, w) && satisfiesConstraints(r.task.step, r.task, w) &&
+			r.task.step.reserved().Fits(w.free()) {
 			return true
 		}
 	}
