jobmanager: a redirected call makes no pool take its queue over

One GET for a job that is no longer kept was enough.

Cause: the new pool redirects the call to the old pool, which has removed the job. There the version of the call, later than that of the move, kept it from being sent back, and the old pool claimed the queue under that version, which routes the queue to the other pool. The owner of the queue's home compared versions only.

Ruled out: a node with an old configuration; in the test's log the old pool takes the queue over under the latest version.

The version of a call vouches only for the pool that the call reached first. A redirected call is sent back, or waits while the pool takes the queue over for another reason, but starts no claim. The owner of the home also rejects a claim that its own configuration of that version contradicts.

--- a/jobmanager/queuehome.go
+++ b/jobmanager/queuehome.go
@@ -27,21 +27,46 @@
 	return fmt.Sprintf("%s%016x", homeKeyPrefix, xxhash.Sum64String(h.Address))
 }
 
-// claimHome gives a queue to a pool unless another pool has it under the same or a later version of the configuration. The
-// reply contains the version, and the earlier pools or the other pool.
+// claim returns the state after a claim by a pool, and whether the pool has the queue then. The zero queueHome belongs to no
+// pool.
+func (h queueHome) claim(c call) (next queueHome, granted bool) {
+	switch {
+	case h.Pool == "":
+		return queueHome{Address: c.Address, Pool: c.Pool, Version: c.Version}, true
+	case h.Pool == c.Pool:
+		return h, true
+	case c.Version <= h.Version:
+		return h, false
+	}
+	earlier := slices.DeleteFunc(append(slices.Clone(h.Earlier), h.Pool), func(pool string) bool { return pool == c.Pool })
+	return queueHome{Address: c.Address, Pool: c.Pool, Version: c.Version, Earlier: earlier}, true
+}
+
+// contradicts reports whether the configuration is the version of a claim and does not route the queue to the pool that
+// claims it.
+func (c *Config) contradicts(claim call) bool {
+	if c == nil || c.Version != claim.Version {
+		return false
+	}
+	return !slices.ContainsFunc(c.Routes, func(r Route) bool {
+		ref := c.Ref(&r)
+		return ref.Address == claim.Address && ref.Pool == claim.Pool
+	})
+}
+
+// claimHome gives a queue to a pool unless another pool has it under the same or a later version of the configuration, or
+// the version of the claim is known not to route the queue to the pool. The reply contains the version, and the earlier
+// pools or the other pool.
 func (s *shard) claimHome(ctx context.Context, c call) reply {
 	return s.storedReply(ctx, func(answer func(reply)) {
-		home, known := s.homes[c.Address]
-		switch {
-		case !known:
-			home = queueHome{Address: c.Address, Pool: c.Pool, Version: c.Version}
-		case home.Pool == c.Pool:
-		case c.Version <= home.Version:
+		if s.node.Config().contradicts(c) {
+			answer(reply{Code: codeNotOwner})
+			return
+		}
+		home, granted := s.homes[c.Address].claim(c)
+		if !granted {
 			answer(reply{Code: codeMoved, Pool: home.Pool, Version: home.Version})
 			return
-		default:
-			earlier := slices.DeleteFunc(append(slices.Clone(home.Earlier), home.Pool), func(pool string) bool { return pool == c.Pool })
-			home = queueHome{Address: c.Address, Pool: c.Pool, Version: c.Version, Earlier: earlier}
 		}
 		s.homes[c.Address] = home
 		value, err := cbor.Marshal(home)
--- a/jobmanager/queues.go
+++ b/jobmanager/queues.go
@@ -131,14 +131,20 @@
 
 // locate decides where a call for a job that the pool doesn't know is answered. It returns the pool to which the call is
 // redirected, or "" for this one. The error is errNotOwner while the queue is being taken over.
+//
+// The version of a call routes the queue to the pool that the call reached first. So a redirected call never makes this
+// pool take the queue over: that version may route the queue to another pool.
 func (s *shard) locate(c call) (pool string, err error) {
 	if c.Address == "" {
 		return "", nil
 	}
 	q := s.queue(c.Pool, c.Address)
+	redirected := c.RedirectedBy != ""
 	switch {
-	case q.record.redirects(c.Version):
+	case q.record.redirects(c.Version), redirected && q.record.moved():
 		return q.record.MovedTo, nil
+	case !q.held && redirected:
+		return "", errNotOwner
 	case !q.held:
 		s.claimQueue(q, c.Version)
 		return "", errNotOwner
