jobmanager: a repeated claim of a queue keeps the greater version

A late claim of another pool, under a version in between, was granted. The queue came back at the pool's next check, so callers saw no more than jobs of some milliseconds in another pool.

Shown by TestRepeatedClaimRaisesVersion, which fails without the change. Not shown on processes.

--- a/jobmanager/queuehome.go
+++ b/jobmanager/queuehome.go
@@ -34,6 +34,8 @@
 	case h.Pool == "":
 		return queueHome{Address: c.Address, Pool: c.Pool, Version: c.Version}, true
 	case h.Pool == c.Pool:
+		// The greater version keeps out a late claim of another pool under a version in between.
+		h.Version = max(h.Version, c.Version)
 		return h, true
 	case c.Version <= h.Version:
 		return h, false
--- a/jobmanager/queuehome_test.go
+++ b/jobmanager/queuehome_test.go
@@ -25,3 +25,16 @@
 		t.Error("a node without a configuration rejects a claim")
 	}
 }
+
+// TestRepeatedClaimRaisesVersion guards against a queue that is taken away by a late claim: its pool had claimed it again
+// under a later version than that of the late claim, but the earlier version was kept.
+func TestRepeatedClaimRaisesVersion(t *testing.T) {
+	home, _ := queueHome{}.claim(call{Pool: "a", Address: "h/q/", Version: 7})
+	home, granted := home.claim(call{Pool: "a", Address: "h/q/", Version: 9})
+	if !granted {
+		t.Fatal("the pool of the queue is refused")
+	}
+	if home, granted = home.claim(call{Pool: "b", Address: "h/q/", Version: 8}); granted {
+		t.Errorf("a claim under version 8 was granted after one under version 9: %+v", home)
+	}
+}
