job: use a worker only with the entry of its current incarnation

Cause: the first report of the new incarnation made the worker usable, with the labels, the capacity and the state from the directory entry of the earlier one.

Ruled out as the only cause: orders in flight during the crash. In TestEntryOfEarlierIncarnation the start is ordered after the first report of the new incarnation.

A worker now gets starts, and counts as draining, only while its entry describes the incarnation that reports.

--- a/job/evacuate.go
+++ b/job/evacuate.go
@@ -39,12 +39,11 @@
 // evacuate moves tasks away from workers that are leaving, draining or about to be maintained.
 func (p *Pool) evacuate(now Time) {
 	for _, w := range p.sortedWorkers() {
-		leaving := w.leaving || w.info.Draining
-		if !leaving && !w.evacuating {
+		if !w.draining() && !w.evacuating {
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.state == runActive && p.mayEvict(r, leaving, now) {
+			if r.state == runActive && p.mayEvict(r, w.draining(), now) {
 				p.event(Event{Kind: "run evacuated", Task: r.task.id, Run: r.number, Worker: w.info.ID})
 				p.stop(r, now)
 			}
--- /dev/null
+++ b/job/incarnation_test.go
@@ -0,0 +1,67 @@
+package job
+
+import "testing"
+
+// reborn applies the first report of an incarnation of a worker, and stores it.
+func (tp *testPool) reborn(worker string, incarnation int64, running ...RunningTask) {
+	tp.Report(Report{Worker: worker, Incarnation: incarnation, SentAt: tp.now.Steady, Running: running}, tp.now)
+	tp.commit()
+}
+
+// labelled returns the directory entry of an incarnation of worker a with a label.
+func labelled(incarnation int64, label string) []WorkerInfo {
+	return []WorkerInfo{{ID: "a", Labels: []string{label}, Incarnation: incarnation, Capacity: Resources{CPU: 4000, MemMB: 4000}}}
+}
+
+func labelledStep(id, label string) *Spec {
+	s := oneStep(id, 1, 1000)
+	s.Steps[0].Label = label
+	return s
+}
+
+// TestEntryOfEarlierIncarnation guards against starts on a worker that restarted as another kind: its new incarnation had
+// reported, but the labels were those of the directory entry of the earlier one.
+func TestEntryOfEarlierIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.UpdateDirectory(labelled(1, "x"), p.now)
+	p.submit(labelledStep("first", "x"))
+	p.reborn("a", 2)
+	if o := starts(p.tick()); len(o) != 0 {
+		t.Fatalf("started %+v by the labels of an earlier incarnation", o)
+	}
+	p.UpdateDirectory(labelled(2, "y"), p.now)
+	p.submit(labelledStep("second", "y"))
+	if o := starts(p.tick()); len(o) != 1 || o[0].Task.Job != "second" {
+		t.Errorf("starts %+v, want the task that requires the new label", o)
+	}
+}
+
+// TestEntryOfLaterIncarnation guards against the same starts when the new entry arrives before the first report.
+func TestEntryOfLaterIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.UpdateDirectory(labelled(2, "y"), p.now)
+	p.submit(labelledStep("second", "y"))
+	if o := starts(p.tick()); len(o) != 0 {
+		t.Fatalf("started %+v in an incarnation that the entry does not describe", o)
+	}
+	p.reborn("a", 2)
+	if o := starts(p.tick()); len(o) != 1 {
+		t.Errorf("%d starts after the described incarnation reported, want 1", len(o))
+	}
+}
+
+// TestDrainingOfEarlierIncarnation guards against an evacuation of a restarted worker because its earlier incarnation was
+// draining.
+func TestDrainingOfEarlierIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	info := labelled(1, "x")
+	info[0].Draining = true
+	p.UpdateDirectory(info, p.now)
+	task := TaskID{Job: "j", Index: 0}
+	p.submit(longRunningSpec("j", 1, 0))
+	p.tick()
+	p.reborn("a", 2, RunningTask{Task: task, Run: 1, Progress: availableProgress})
+	if o := stops(p.tick()); len(o) != 0 {
+		t.Errorf("stopped %+v on a worker that is not draining", o)
+	}
+}
--- a/job/overload.go
+++ b/job/overload.go
@@ -43,7 +43,7 @@
 func (p *Pool) capacity() Resources {
 	var c Resources
 	for _, w := range p.workers {
-		if !w.listed || w.info.Draining || w.leaving || w.evacuating {
+		if !w.listed || w.draining() || w.evacuating {
 			continue
 		}
 		c = c.Add(w.info.Capacity).Sub(w.usedLongRunning)
--- a/job/record.go
+++ b/job/record.go
@@ -82,6 +82,8 @@
 	Labels   []string  `cbor:"5,keyasint,omitempty"`
 	Capacity Resources `cbor:"6,keyasint"`
 	Draining bool      `cbor:"7,keyasint,omitempty"`
+	// Incarnation is the start of the described incarnation in Unix milliseconds; 0 if the entry does not name it.
+	Incarnation int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Time is one instant on two clocks.
--- a/job/worker.go
+++ b/job/worker.go
@@ -285,9 +285,18 @@
 	return true
 }
 
+// described reports whether the directory entry describes the incarnation that reports. A restarted worker may have other
+// labels and another capacity, and its entry and its first report arrive in any order.
+func (w *worker) described() bool {
+	return w.info.Incarnation == 0 || w.info.Incarnation == w.incarnation
+}
+
+// draining reports whether the incarnation that reports is about to leave.
+func (w *worker) draining() bool { return w.leaving || (w.info.Draining && w.described()) }
+
 // usable reports whether a worker may get a start.
 func (w *worker) usable(now Time) bool {
-	return w.listed && w.reported && !w.refusing && w.storedIncarnation == w.incarnation && len(w.strays) == 0 && !w.info.Draining && !w.leaving && !w.evacuating &&
+	return w.listed && w.reported && w.described() && !w.refusing && w.storedIncarnation == w.incarnation && len(w.strays) == 0 && !w.draining() && !w.evacuating &&
 		now.Steady >= w.backoffUntil && now.Steady >= w.fleetHoldUntil && now.Steady-w.lastReportSentAt < maxReportAge
 }
 
