job: do not repeat a start that was decided for another incarnation

A start is now stopped instead of repeated when the worker has restarted; for a step with a label, or on a queue that needs advice, also when the worker has not reported since the first attempt.

Shown by TestStartIsNotResentToNextIncarnation and TestLabelledStartIsResentAfterReport, which failed before.

--- a/job/incarnation_test.go
+++ b/job/incarnation_test.go
@@ -1,6 +1,9 @@
 package job
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // reborn applies the first report of an incarnation of a worker, and stores it.
 func (tp *testPool) reborn(worker string, incarnation int64, running ...RunningTask) {
@@ -65,3 +68,40 @@
 		t.Errorf("stopped %+v on a worker that is not draining", o)
 	}
 }
+
+// TestStartIsNotResentToNextIncarnation guards against a start that is sent once more, after its worker has restarted, although
+// it was decided by the labels of the earlier incarnation.
+func TestStartIsNotResentToNextIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.UpdateDirectory(labelled(1, "x"), p.now)
+	p.submit(labelledStep("j", "x"))
+	first := starts(p.tick())
+	if len(first) != 1 {
+		t.Fatalf("%d starts, want 1", len(first))
+	}
+	p.Started(first[0], ResultNoAnswer, p.now)
+	p.advance(orderRetryInterval)
+	p.reborn("a", 2)
+	orders := p.tick()
+	if len(starts(orders)) != 0 || len(stops(orders)) != 1 {
+		t.Errorf("orders %+v, want a stop of the unanswered start", orders)
+	}
+}
+
+// TestLabelledStartIsResentAfterReport guards against the same start while the restart of the worker is not known yet.
+func TestLabelledStartIsResentAfterReport(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		p := newTestPool(t, "a")
+		p.UpdateDirectory(labelled(1, "x"), p.now)
+		p.submit(labelledStep("j", "x"))
+		p.Started(starts(p.tick())[0], ResultNoAnswer, p.now)
+		p.advance(orderRetryInterval / 2)
+		if reported {
+			p.report("a")
+		}
+		p.advance(orderRetryInterval/2 + time.Millisecond)
+		if n := len(starts(p.tick())); (n == 1) != reported {
+			t.Errorf("%d starts sent again, report since the first one: %t", n, reported)
+		}
+	}
+}
--- a/job/order.go
+++ b/job/order.go
@@ -77,6 +77,7 @@
 func (p *Pool) startRun(t *task, w *worker, number int, now Time) {
 	r := p.attach(t, w, number, runStarting, now)
 	r.tries = 1
+	r.incarnation = w.incarnation
 	w.leaseUntil = max(w.leaseUntil, now.Steady+p.cfg.MaxLease)
 	p.event(Event{
 		Kind: "run ordered", Task: t.id, Run: number, Worker: w.info.ID, AgeMs: (now.Steady - t.readySince).Milliseconds(),
@@ -185,7 +186,7 @@
 }
 
 func (p *Pool) retryOrder(r *run, now Time) {
-	if r.state == runStarting && r.tries >= maxStartAttempts {
+	if r.state == runStarting && !r.mayResend() {
 		p.abandonStart(r, now)
 		return
 	}
@@ -198,6 +199,17 @@
 	p.sendStart(r, now)
 }
 
+// mayResend reports whether an unanswered start may be sent once more. It was decided for one incarnation of the worker: the
+// next one may have other labels and need another ticket. A step that depends on these therefore needs a report since the
+// start was sent.
+func (r *run) mayResend() bool {
+	if r.tries >= maxStartAttempts || r.incarnation != r.worker.incarnation {
+		return false
+	}
+	restricted := r.task.step.Label != "" || r.task.job.spec.NeedsAdvice
+	return !restricted || r.worker.lastReportSentAt > r.startSentAt
+}
+
 // abandonStart stops a run whose start was not answered, so that its task can be placed on another worker. A
 // long-running task may already be running there; while the disruption budget of its step does not permit stopping it,
 // the next report or the expiry of the lease decides.
--- a/job/pool.go
+++ b/job/pool.go
@@ -77,6 +77,7 @@
 	task         *task
 	number       int
 	worker       *worker
+	incarnation  int64 // of the worker, for which the start was decided; 0 for a run that another owner started
 	state        runState
 	orderedAt    time.Duration // time of the last order for the run
 	startSentAt  time.Duration // time of the last start order
