jobmanager: acknowledge run ends in a request that does not wait

Cause: the request for a report carries the number up to which the worker may forget run ends, and waits at the worker. When the worker restarts while it is on its way, the next incarnation takes the number for its own ends. A worker that applies it when it answers forgets the ends that occurred meanwhile; their tasks are "not reported" and start again.

Ruled out: the validity of 0.3 s of the number, which prevents later requests only.

Ends are now acknowledged once, in a request that does not wait; the next one waits and acknowledges nothing.

TestAcknowledgementDoesNotWait fails with the change switched off.

--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -44,11 +44,15 @@
 	// The fields below are accessed only by the shard's goroutine.
 	status       job.WorkerStatus
 	clock        workerClock
-	lastAnswerAt time.Duration // steady time of the worker's last answer
-	relay        string        // node that calls the worker; empty if the owner does
-	directUntil  time.Duration // until then the owner calls the worker itself, although it has a relay
+	acked        acknowledgement // the last one that the worker answered
+	lastAnswerAt time.Duration   // steady time of the worker's last answer
+	relay        string          // node that calls the worker; empty if the owner does
+	directUntil  time.Duration   // until then the owner calls the worker itself, although it has a relay
 }
 
+// acknowledgement is the number up to which an incarnation of a worker has been told to forget run ends.
+type acknowledgement struct{ incarnation, upTo int64 }
+
 func newLink(s *shard, p *job.Pool, worker string) *link {
 	return &link{
 		shard: s, pool: p, worker: worker,
@@ -65,13 +69,19 @@
 
 // nextRenewLease prepares the next RenewLease request. It returns false if the link is to be closed because the pool
 // has forgotten the worker.
+//
+// Run ends are acknowledged once, in a request that does not wait. The worker may restart while the request is on its way:
+// its next incarnation would take the number for its own ends, and would forget those that occur while the request waits.
 func (l *link) nextRenewLease(now job.Time) (RenewLeaseRequest, Target, bool) {
 	status, ok := l.pool.Status(l.worker, now)
 	if !ok {
 		return RenewLeaseRequest{}, Target{}, false
 	}
 	l.status = status
-	r := RenewLeaseRequest{AckedUpTo: status.StableEnd}
+	var r RenewLeaseRequest
+	if status.StableEnd > 0 && l.acked != (acknowledgement{status.Incarnation, status.StableEnd}) {
+		r.AckedUpTo = status.StableEnd
+	}
 	responsive := l.lastAnswerAt > 0 && now.Steady-l.lastAnswerAt < responsiveWindow
 	if responsive {
 		r.Wait = reportWait
@@ -80,8 +90,8 @@
 		r.ExpiresMs = l.leaseExpiry(now)
 		l.pool.LeaseExtended(l.worker, now)
 	}
-	if !l.pool.EndsStored(l.worker) {
-		// The worker would answer at once, because it repeats ends that are not acknowledged.
+	if r.AckedUpTo > 0 || !l.pool.EndsStored(l.worker) {
+		// With ends that are not acknowledged yet the worker would answer at once, because it repeats them.
 		r.Wait = 0
 	}
 	return r, l.target(now), true
@@ -135,6 +145,7 @@
 		l.shard.runInLoop(ctx, func(now job.Time) {
 			l.clock.observe(reply.ClockMs, now)
 			l.lastAnswerAt = now.Steady
+			l.acknowledged(req, reply.Report.Incarnation)
 			l.pool.Report(reply.Report, now)
 			endsStored = l.pool.EndsStored(l.worker)
 		})
@@ -155,6 +166,13 @@
 	sleep(ctx, failedPollDelay)
 }
 
+// acknowledged records that an incarnation of the worker answered a request.
+func (l *link) acknowledged(r RenewLeaseRequest, incarnation int64) {
+	if r.AckedUpTo > 0 && incarnation == l.status.Incarnation {
+		l.acked = acknowledgement{incarnation, r.AckedUpTo}
+	}
+}
+
 // incarnationEnded applies the answer of another worker that listens on the target's address. The answer says nothing
 // about the worker if it has a different address by now.
 func (l *link) incarnationEnded(t Target, now job.Time) {
--- a/jobmanager/link_test.go
+++ b/jobmanager/link_test.go
@@ -36,3 +36,34 @@
 		t.Error("an answer does not count")
 	}
 }
+
+// TestAcknowledgementDoesNotWait guards against a worker that restarts while a request is on its way to it, and forgets run
+// ends of its next incarnation that occur while the request waits there: their tasks were started again.
+func TestAcknowledgementDoesNotWait(t *testing.T) {
+	s := newTestShard(t, &recordingStore{})
+	var l *link
+	var acks []RenewLeaseRequest
+	s.runInLoop(s.node.ctx, func(now job.Time) {
+		p := s.pool("p", now)
+		p.UpdateDirectory([]job.WorkerInfo{{ID: "w", Capacity: job.Resources{CPU: 1000}}}, now)
+		l = newLink(s, p, "w")
+		l.lastAnswerAt = now.Steady
+		report := job.Report{Worker: "w", Incarnation: 1, SentAt: now.Steady}
+		report.Ended = []job.EndedTask{{Seq: 4, Task: job.TaskID{Job: "x"}, Run: 1, Outcome: job.EndDone}}
+		p.Report(report, now)
+		p.Committed(p.TakeCommit(), now)
+		for range 3 {
+			r, _, _ := l.nextRenewLease(now)
+			acks = append(acks, r)
+			if len(acks) > 1 {
+				l.acknowledged(r, 1) // the first one has no answer
+			}
+		}
+	})
+	for i, r := range acks {
+		last := i == len(acks)-1
+		if acked := r.AckedUpTo > 0; acked == last || (acked && r.Wait > 0) || (last && r.Wait == 0) {
+			t.Errorf("request %d acknowledges up to %d and waits for %v", i, r.AckedUpTo, r.Wait)
+		}
+	}
+}
