job: stop late starts in the next incarnation of a worker

When the second attempt was confirmed and the worker then restarted, the run counted as lost at once and the task started elsewhere, while the next incarnation could still carry out the first attempt. The same held for a task that was done by then.

Ruled out as the cause of what the users saw: the soak's double runs have no such start.

A worker's unanswered starts are kept for 15 s. A new incarnation is told to stop them, unless its first report lists them as running; until it has confirmed that, the task is not started elsewhere.

Both tests failed before: "orders [start], want just the stop of the late start" and "stops [], want that of the late start". Not shown on processes.

--- a/job/incarnation_test.go
+++ b/job/incarnation_test.go
@@ -105,3 +105,58 @@
 		}
 	}
 }
+
+// lateStart orders a start on worker a that has no answer, and repeats it with an answer.
+func (tp *testPool) lateStart() Order {
+	tp.t.Helper()
+	tp.submit(oneStep("j", 1, 1000))
+	o := starts(tp.tick())[0]
+	tp.Started(o, ResultNoAnswer, tp.now)
+	tp.advance(orderRetryInterval)
+	if repeated := starts(tp.tick()); len(repeated) != 1 || repeated[0].Run != o.Run {
+		tp.t.Fatalf("repeated starts %+v", repeated)
+	}
+	tp.Started(o, ResultDone, tp.now)
+	return o
+}
+
+// TestLateStartIsStoppedInNextIncarnation guards against two runs of a task at once: the first attempt of a start had no
+// answer, the second one was confirmed, and the worker restarted. The run counted as lost and its task was started elsewhere,
+// while the next incarnation could still carry out the first attempt.
+func TestLateStartIsStoppedInNextIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	o := p.lateStart()
+	p.advance(time.Second)
+	p.report("a", RunningTask{Task: o.Task, Run: o.Run})
+	p.advance(time.Second)
+	p.reborn("a", 2)
+	orders := p.tick()
+	if len(starts(orders)) != 0 || len(stops(orders)) != 1 {
+		t.Fatalf("orders %+v, want just the stop of the late start", orders)
+	}
+	p.Stopped(stops(orders)[0], ResultDone, p.now)
+	p.advance(time.Millisecond)
+	p.reborn("a", 2)
+	if n := len(starts(p.tick())); n != 1 {
+		t.Errorf("%d starts after the confirmed stop, want 1", n)
+	}
+}
+
+// TestLateStartOfDoneTaskIsStopped guards against a second run of a task that is done, which the next incarnation of its worker
+// starts by an earlier attempt.
+func TestLateStartOfDoneTaskIsStopped(t *testing.T) {
+	p := newTestPool(t, "a")
+	o := p.lateStart()
+	p.ends("a", EndedTask{Seq: 1, Task: o.Task, Run: o.Run, Outcome: EndDone})
+	p.commit()
+	p.advance(time.Second)
+	p.reborn("a", 2)
+	if orders := stops(p.tick()); len(orders) != 1 || orders[0].Task != o.Task || orders[0].Run != o.Run {
+		t.Errorf("stops %+v, want that of the late start", orders)
+	}
+	p.advance(lateStartHorizon)
+	p.reborn("a", 3)
+	if orders := stops(p.tick()); len(orders) != 0 {
+		t.Errorf("stopped %+v long after its start", orders)
+	}
+}
--- a/job/order.go
+++ b/job/order.go
@@ -119,6 +119,9 @@
 	if w == nil {
 		return
 	}
+	if result == ResultNoAnswer {
+		w.recordUnanswered(o, now)
+	}
 	r := w.runs[o.Task]
 	if r == nil || r.number != o.Run || r.state != runStarting {
 		return
--- a/job/worker.go
+++ b/job/worker.go
@@ -41,6 +41,7 @@
 	// leaseUntil is when everything that runs on the worker has certainly ended, unless the lease is extended.
 	leaseUntil time.Duration
 	runs       map[TaskID]*run
+	unanswered map[TaskID]unansweredStart
 	used       Resources
 	// usedLongRunning is the part of used that long-running tasks occupy.
 	usedLongRunning Resources
