jobmanager: count on the longest lease that a worker grants

Cause, from a trace of the soak: an order names the end of its lease on the worker's clock, estimated from the last report. The owner learns of a silent restart when its pending request times out, up to 2.45 s later. Until then its orders reach an incarnation whose clock started anew, which shortens the lease to its own limit. That is longer than the 5 s that the owner asked for and counted on, so behind a cut the tasks ran on while they started elsewhere.

Ruled out: late reports of earlier incarnations, and workers taken for removed (no run was lost as "worker gone").

The order still asks for 5 s.

--- a/cmd/berylwharf-soak/main.go
+++ b/cmd/berylwharf-soak/main.go
@@ -22,6 +22,7 @@
 			&cli.StringFlag{Name: "dir", Usage: "directory for settings and logs; those of successful runs are removed", Required: true},
 			&cli.Uint64Flag{Name: "first", Usage: "first seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
+			&cli.BoolFlag{Name: "restart-cuts", Usage: "restart workers silently and cut them off within seconds, in place of random faults"},
 			&cli.IntFlag{Name: "parallel", Usage: "number of concurrent runs", Value: 2},
 		},
 		Action: run,
@@ -75,7 +76,7 @@
 		return false
 	}
 	defer func() { _ = out.Close() }()
-	res, err := soak.Run(soak.Options{Binary: c.String("bin"), Dir: dir, Seed: seed, Out: out})
+	res, err := soak.Run(soak.Options{Binary: c.String("bin"), Dir: dir, Seed: seed, RestartCuts: c.Bool("restart-cuts"), Out: out})
 	if err != nil {
 		fmt.Printf("seed %d: run failed: %v\n", seed, err)
 		return false
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -64,7 +64,7 @@
 // leaseExpiry returns the time on the worker's clock at which a lease that starts now expires, or 0 while that clock is
 // unknown.
 func (l *link) leaseExpiry(now job.Time) int64 {
-	return l.clock.leaseExpiry(now, l.shard.node.settings.Limits.maxLease())
+	return l.clock.leaseExpiry(now, l.shard.node.settings.Limits.requestedLease())
 }
 
 // nextRenewLease prepares the next RenewLease request. It returns false if the link is to be closed because the pool
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -109,7 +109,15 @@
 	return s.CPUShare == 0 || s.CPUShare*max(1, s.CPUSpeed) >= strongCPU
 }
 
-// maxLease returns the lease that the node requests for its workers.
-func (l Limits) maxLease() time.Duration {
-	return min(targetLease, time.Duration(l.MaxLeaseMs)*time.Millisecond)
+// maxLease returns the longest lease that a worker grants, on its clock. It shortens a longer one.
+func (l Limits) maxLease() time.Duration { return time.Duration(l.MaxLeaseMs) * time.Millisecond }
+
+// requestedLease returns the lease that the node requests for its workers.
+func (l Limits) requestedLease() time.Duration { return min(targetLease, l.maxLease()) }
+
+// leaseBound returns how long after an order a worker may keep tasks alive, on the owner's clock. This is the longest lease
+// and not the requested one: an order names the end of the lease on the worker's clock, and if it reaches a later
+// incarnation of the worker, whose clock has started anew, that end is far in the future.
+func (l Limits) leaseBound() time.Duration {
+	return time.Duration(float64(l.maxLease())*clockDriftFactor) + orderTimeout
 }
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -333,7 +333,7 @@
 		return p
 	}
 	limits := s.node.settings.Limits
-	lease := time.Duration(float64(limits.maxLease())*clockDriftFactor) + orderTimeout
+	lease := limits.leaseBound()
 	inheritedFleetTimeout := time.Duration(0)
 	if s.epoch > 1 {
 		inheritedFleetTimeout = fleetInterval + loadTimeout + machineTimeout
--- a/jobmanager/workerclock_test.go
+++ b/jobmanager/workerclock_test.go
@@ -26,3 +26,16 @@
 		t.Fatal("a lease expiry is returned although the worker's clock is not known")
 	}
 }
+
+// TestLeaseBoundCoversRestartedWorker guards against tasks that start elsewhere while they still run: an order whose lease ends
+// by the clock of an earlier incarnation reached a worker that had restarted, which granted its longest lease.
+func TestLeaseBoundCoversRestartedWorker(t *testing.T) {
+	const slowestClock = 0.98
+	for _, maxLeaseMs := range []int64{1000, 6000, 10_000} {
+		limits := Limits{MaxLeaseMs: maxLeaseMs}
+		longest := time.Duration(float64(limits.maxLease())/slowestClock) + orderTimeout
+		if bound := limits.leaseBound(); bound < longest {
+			t.Errorf("the owner counts on %v, a worker with leases of up to %d ms may run tasks for %v", bound, maxLeaseMs, longest)
+		}
+	}
+}
