job: count a failed run of a gang once

Cause: the failed runs of all members were added up, so one run of which two members are listed as failed counted as two attempts. Ruled out: ends that are listed again, which are counted by their run numbers.

The attempts of a gang are now the different run numbers among its members' failed runs.

TestGangRunCountsOnce failed before: "the job failed after one run of two".

--- a/job/attempts_test.go
+++ b/job/attempts_test.go
@@ -77,3 +77,36 @@
 		t.Fatalf("%v after a report StableEnd is %d, want 0", minRestartTime, s.StableEnd)
 	}
 }
+
+// TestGangRunCountsOnce guards against a job that is shown as failed after one failed run of its gang: each member that a
+// worker listed as failed counted as an attempt.
+func TestGangRunCountsOnce(t *testing.T) {
+	p := newTestPool(t, "a", "b")
+	s := oneStep("x", 3, 1000)
+	s.Steps[0].Gang = true
+	p.submit(s)
+	seq := make(map[string]int64)
+	failRun := func() {
+		t.Helper()
+		orders := starts(p.tick())
+		if len(orders) != 3 {
+			t.Fatalf("%d starts, want the whole gang", len(orders))
+		}
+		for _, o := range orders {
+			p.Started(o, ResultDone, p.now)
+			seq[o.Worker]++
+			p.ends(o.Worker, EndedTask{Seq: seq[o.Worker], Task: o.Task, Run: o.Run, Outcome: EndFailed})
+		}
+		p.commit()
+	}
+	failRun()
+	if state, _ := p.StateOf("x"); state == StateFailed {
+		t.Fatal("the job failed after one run of two")
+	}
+	p.advance(failureBackoff)
+	p.reportAll("a", "b")
+	failRun()
+	if state, _ := p.StateOf("x"); state != StateFailed {
+		t.Errorf("state %q after the second failed run, want %q", state, StateFailed)
+	}
+}
--- a/job/report.go
+++ b/job/report.go
@@ -237,18 +237,26 @@
 		return
 	}
 	t.failed = append(t.failed, number)
-	failures := len(t.failed)
-	if t.step.Gang {
-		failures = 0
-		for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
-			failures += len(m.failed)
-		}
-	}
-	if failures >= max(1, t.job.spec.Attempts) {
+	if t.failedRuns() >= max(1, t.job.spec.Attempts) {
 		p.finish(t.job, Failed, now)
 	}
 }
 
+// failedRuns returns how many runs of a task, or of its gang, have failed. The members of a gang share the number of a run, of
+// which several may fail.
+func (t *task) failedRuns() int {
+	if !t.step.Gang {
+		return len(t.failed)
+	}
+	runs := make(map[int]bool)
+	for _, m := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step] {
+		for _, number := range m.failed {
+			runs[number] = true
+		}
+	}
+	return len(runs)
+}
+
 func compareTasks(a, b TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
 		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
