jobmanager: an owner verifies its ownership before it denies a job

Cause: "no such job" was answered from memory. Every other answer needs an append, which the store refuses to a replaced owner. Ruled out: the membership's TTL, which excludes only that it has expired.

The answer now waits for an append of a record without a value. If it is refused the ownership ends, and the caller's node asks the next owner. While the store does not answer, the request is answered with 503 at once.

--- a/jobmanager/requests.go
+++ b/jobmanager/requests.go
@@ -43,11 +43,16 @@
 			}
 		}
 		o := f(p, now)
-		if o.answer == job.Pending && o.err == nil {
+		switch {
+		case o.err == nil && o.answer == job.Pending:
 			s.waiters[c.ID] = append(s.waiters[c.ID], waiter{reply: reply, untilEnded: untilEnded})
-			return
+		case o.err == nil && o.answer == job.Unknown && s.storeUnavailable(now):
+			reply <- s.storeDownOutcome(now)
+		case o.err == nil && o.answer == job.Unknown:
+			s.verifyOwner(func() { reply <- o })
+		default:
+			reply <- o
 		}
-		reply <- o
 	})
 	if !ran && len(reply) == 0 {
 		return outcome{err: errUncertain}
@@ -56,35 +61,64 @@
 	case o := <-reply:
 		return o
 	case <-ctx.Done():
-		return outcome{err: errUncertain}
+	case <-s.done:
 	}
+	return outcome{err: errUncertain}
 }
 
+// ownerCheckKey is the key of the record that verifyOwner stores. The record has no value, so the store keeps nothing of it.
+const ownerCheckKey = "owner-check"
+
+// verifyOwner calls verified after the store has accepted an append of this owner that began later than now. A node that has
+// been replaced does not know it until its next join, and does not know the jobs that its successor has accepted, so it must
+// not say that a job does not exist. If the node has been replaced, the ownership ends and verified is not called.
+func (s *shard) verifyOwner(verified func()) { s.store(job.Record{Key: ownerCheckKey}, verified) }
+
 // jobState returns the state of a job.
 func (s *shard) jobState(ctx context.Context, c call) reply {
-	r := reply{Code: codeNotOwner}
-	s.runInLoop(ctx, func(now job.Time) {
-		if !s.node.confirmed(now) {
+	answers := make(chan reply, 1)
+	if !s.runInLoop(ctx, func(now job.Time) { s.answerState(c, now, func(r reply) { answers <- r }) }) {
+		return reply{Code: codeNotOwner}
+	}
+	select {
+	case r := <-answers:
+		return r
+	case <-ctx.Done():
+	case <-s.done:
+	}
+	return reply{Code: codeNotOwner}
+}
+
+// answerState answers a request for the state of a job, now or when the store has confirmed the ownership.
+func (s *shard) answerState(c call, now job.Time, answer func(reply)) {
+	if !s.node.confirmed(now) {
+		answer(reply{Code: codeNotOwner})
+		return
+	}
+	p := s.pool(c.Pool, now)
+	if state, known := p.StateOf(c.ID); known {
+		answer(reply{State: state})
+		return
+	}
+	if !p.Knows(c.ID) {
+		pool, err := s.locate(c)
+		switch {
+		case err != nil:
+			answer(reply{Code: codeNotOwner})
 			return
-		}
-		p := s.pool(c.Pool, now)
-		if state, known := p.StateOf(c.ID); known {
-			r = reply{State: state}
+		case pool != "":
+			answer(reply{Code: codeMoved, Pool: pool})
 			return
 		}
-		if !p.Knows(c.ID) {
-			pool, err := s.locate(c)
-			if err != nil {
-				return
-			}
-			if pool != "" {
-				r = reply{Code: codeMoved, Pool: pool}
-				return
-			}
-		}
-		r = reply{Code: codeUnknown}
-	})
-	return r
+	}
+	switch {
+	case s.releasing.Load():
+		answer(reply{Code: codeNotOwner})
+	case s.storeUnavailable(now):
+		answer(outcomeReply(s.storeDownOutcome(now)))
+	default:
+		s.verifyOwner(func() { answer(reply{Code: codeUnknown}) })
+	}
 }
 
 // waiting returns the number of jobs in a queue that wait for their first task, and the earlier pools of the queue, which
