job: a repeated start extends the lease that the owner counts on

The repetition 0.6 s later carries a lease that ends 0.6 s later, so behind a cut the tasks of the worker could start elsewhere while they ran.

TestRepeatedStartExtendsLease failed before: "the run counts as ended before the lease of the repeated start".

--- a/job/order.go
+++ b/job/order.go
@@ -78,7 +78,6 @@
 	r := p.attach(t, w, number, runStarting, now)
 	r.tries = 1
 	r.incarnation = w.incarnation
-	w.leaseUntil = max(w.leaseUntil, now.Steady+p.cfg.MaxLease)
 	p.event(Event{
 		Kind: "run ordered", Task: t.id, Run: number, Worker: w.info.ID, AgeMs: (now.Steady - t.readySince).Milliseconds(),
 	})
@@ -87,6 +86,7 @@
 
 func (p *Pool) sendStart(r *run, now Time) {
 	r.startSentAt = now.Steady
+	p.leaseExtended(r.worker, now)
 	t := r.task
 	checkpoint := ""
 	if t.step.Checkpointable {
--- a/job/order_test.go
+++ b/job/order_test.go
@@ -101,3 +101,29 @@
 	}
 	t.Fatal("the task was not started again after the start had expired")
 }
+
+// TestRepeatedStartExtendsLease guards against a task that starts elsewhere while it still runs: the repetition of an unanswered
+// start gave the worker a longer lease than the owner counted on from the first attempt.
+func TestRepeatedStartExtendsLease(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.advance(p.cfg.InheritedLease)
+	p.report("a")
+	p.submit(oneStep("x", 1, 1000))
+	p.Started(starts(p.tick())[0], ResultNoAnswer, p.now)
+	p.advance(orderRetryInterval)
+	repeated := starts(p.tick())
+	if len(repeated) != 1 {
+		t.Fatalf("%d starts, want the repetition", len(repeated))
+	}
+	p.Started(repeated[0], ResultDone, p.now)
+	p.advance(p.cfg.MaxLease - 2*housekeepingInterval)
+	p.tick()
+	if len(p.workers["a"].runs) != 1 {
+		t.Error("the run counts as ended before the lease of the repeated start")
+	}
+	p.advance(2 * housekeepingInterval)
+	p.tick()
+	if len(p.workers["a"].runs) != 0 {
+		t.Error("the run does not end with the lease of a silent worker")
+	}
+}
--- a/job/worker.go
+++ b/job/worker.go
@@ -130,10 +130,14 @@
 // LeaseExtended records that an order extends the lease of a worker, whether or not the order arrives.
 func (p *Pool) LeaseExtended(id string, now Time) {
 	if w := p.workers[id]; w != nil {
-		w.leaseUntil = max(w.leaseUntil, now.Steady+p.cfg.MaxLease)
+		p.leaseExtended(w, now)
 	}
 }
 
+func (p *Pool) leaseExtended(w *worker, now Time) {
+	w.leaseUntil = max(w.leaseUntil, now.Steady+p.cfg.MaxLease)
+}
+
 // WorkerGone records proof that nothing runs at a worker's address now: each run that was confirmed is over. An
 // unanswered start may still be carried out by the next incarnation of the same name.
 func (p *Pool) WorkerGone(id string, now Time) {
