jobmanager: do not send an order later than its timeout

The owner counts the worker's lease from the decision, so a start that waited could give a restarted worker a longer lease. A process that was paused for seconds also sent the orders that it had decided before.

An order that is not sent within its timeout is given up as not sent; its task is placed again.

TestDelayedOrderIsNotSent failed before: "an order that waited too long is sent 1 times", "an order that was decided long ago is sent 1 times".

--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -219,18 +219,23 @@
 }
 
 // send sends an order from its own goroutine. The expiry of a start's lease is computed now, so that a start that is
-// delayed in this process is already expired when it reaches the worker.
+// delayed in this process is already expired when it reaches the worker. An order that orderTimeout has passed since is
+// not sent at all: a worker that has restarted would grant it a lease that lasts longer than the owner counts on.
 func (l *link) send(ctx context.Context, o job.Order, now job.Time) {
 	target, expires := l.target(now), l.leaseExpiry(now)
 	l.shard.node.wg.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
 		select {
 		case l.orderSlots <- struct{}{}:
 			defer func() { <-l.orderSlots }()
-		case <-ctx.Done():
+		case <-callCtx.Done():
+		}
+		clock := l.shard.node.clock
+		if callCtx.Err() != nil || clock.Now().Steady-now.Steady > orderTimeout {
+			l.handleResult(ctx, target, o, job.ResultNotSent, nil)
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
 		result, err := l.shard.node.workers.Send(callCtx, target, o, expires)
 		l.handleResult(ctx, target, o, result, err)
 	})
--- a/jobmanager/link_test.go
+++ b/jobmanager/link_test.go
@@ -1,6 +1,8 @@
 package jobmanager
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,3 +69,49 @@
 		}
 	}
 }
+
+// countingWorkers counts the orders that are sent.
+type countingWorkers struct {
+	Workers
+	sent atomic.Int32
+}
+
+func (w *countingWorkers) Send(context.Context, Target, job.Order, int64) (job.Result, error) {
+	w.sent.Add(1)
+	return job.ResultDone, nil
+}
+
+// TestDelayedOrderIsNotSent guards against an order that waited in this process, for other orders to the worker or because the
+// process was paused, and reaches a worker after the owner has stopped counting on its lease.
+func TestDelayedOrderIsNotSent(t *testing.T) {
+	workers := &countingWorkers{}
+	s := newTestShard(t, &recordingStore{})
+	s.node.workers = workers
+	send := func(blocked bool, age time.Duration) int32 {
+		sentBefore := workers.sent.Load()
+		var l *link
+		s.runInLoop(s.node.ctx, func(now job.Time) {
+			l = newLink(s, s.pool("p", now), "w")
+			for blocked && len(l.orderSlots) < cap(l.orderSlots) {
+				l.orderSlots <- struct{}{}
+			}
+			decided := job.Time{Steady: now.Steady - age, WallMs: now.WallMs}
+			l.send(s.node.ctx, job.Order{Kind: job.OrderStart, Worker: "w"}, decided)
+		})
+		time.Sleep(orderTimeout + orderTimeout/2)
+		if blocked {
+			<-l.orderSlots
+			time.Sleep(orderTimeout / 2)
+		}
+		return workers.sent.Load() - sentBefore
+	}
+	if n := send(false, 0); n != 1 {
+		t.Errorf("a prompt order is sent %d times", n)
+	}
+	if n := send(true, 0); n != 0 {
+		t.Errorf("an order that waited too long is sent %d times", n)
+	}
+	if n := send(false, 2*orderTimeout); n != 0 {
+		t.Errorf("an order that was decided long ago is sent %d times", n)
+	}
+}
