job: repeat the stops of late starts; the model carries orders into later incarnations

It now delivers them: within the time of transit at once, later ones from 3 s after the incarnation's first report, as a late start before the first contact can't be prevented. Orders without an answer end in a result, a worker shortens leases to its own limit, and half of the restarts are followed by a cut.

Found with it: the stop of a late start was sent to a new incarnation once. Stops are now repeated until the incarnation confirms them.

TestLateStartOfDoneTaskIsStopped now has a stop without an answer.

--- a/job/incarnation_test.go
+++ b/job/incarnation_test.go
@@ -151,8 +151,18 @@
 	p.commit()
 	p.advance(time.Second)
 	p.reborn("a", 2)
-	if orders := stops(p.tick()); len(orders) != 1 || orders[0].Task != o.Task || orders[0].Run != o.Run {
-		t.Errorf("stops %+v, want that of the late start", orders)
+	var orders []Order
+	for _, result := range []Result{ResultNoAnswer, ResultDone} {
+		orders = stops(p.tick())
+		if len(orders) != 1 || orders[0].Task != o.Task || orders[0].Run != o.Run {
+			t.Fatalf("stops %+v, want that of the late start", orders)
+		}
+		p.Stopped(orders[0], result, p.now)
+		p.advance(orderRetryInterval)
+		p.reborn("a", 2)
+	}
+	if orders = stops(p.tick()); len(orders) != 0 {
+		t.Errorf("stopped %+v again after a confirmed stop", orders)
 	}
 	p.advance(lateStartHorizon)
 	p.reborn("a", 3)
--- a/job/latestart.go
+++ b/job/latestart.go
@@ -5,11 +5,14 @@
 // lateStartHorizon is how long after its timeout an unanswered start may still be carried out.
 const lateStartHorizon = 15 * time.Second
 
-// unansweredStart is a start that had no answer. The worker may still carry it out, and so may its next incarnation under the
+// unansweredStart is a start that had no answer. The worker may still carry it out, and so may a later incarnation under the
 // same identifier, which does not know how the run ended.
 type unansweredStart struct {
-	run int
-	at  time.Duration // when the attempt timed out
+	run         int
+	at          time.Duration // when the attempt timed out
+	incarnation int64         // of the worker, to which the start was sent
+	stoppedIn   int64         // incarnation that has confirmed a stop; 0 if none has
+	stopSentAt  time.Duration // of the last stop
 }
 
 // recordUnanswered keeps an unanswered start in mind.
@@ -17,36 +20,57 @@
 	if w.unanswered == nil {
 		w.unanswered = make(map[TaskID]unansweredStart)
 	}
-	w.unanswered[o.Task] = unansweredStart{run: max(o.Run, w.unanswered[o.Task].run), at: now.Steady}
+	s := unansweredStart{run: o.Run, at: now.Steady, incarnation: w.incarnation}
+	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
+		s.incarnation = r.incarnation
+	}
+	if s.run >= w.unanswered[o.Task].run {
+		w.unanswered[o.Task] = s
+	}
 }
 
-// dropExpiredStarts forgets the unanswered starts that can no longer be carried out.
-func (w *worker) dropExpiredStarts(now Time) {
-	for id, s := range w.unanswered {
-		if now.Steady-s.at > lateStartHorizon {
-			delete(w.unanswered, id)
-		}
+// recordStopped records a confirmed stop. The incarnation that confirmed it rejects the start from now on.
+func (w *worker) recordStopped(o Order) {
+	if s, ok := w.unanswered[o.Task]; ok && s.run <= o.Run {
+		s.stoppedIn = w.incarnation
+		w.unanswered[o.Task] = s
 	}
 }
 
-// stopLateStarts orders a new incarnation of a worker to stop the unanswered starts of earlier ones, unless its first report
-// lists them as running. After a confirmed stop it rejects the start. Until then the task is not started elsewhere, even if
-// another attempt of the same run was confirmed.
-func (p *Pool) stopLateStarts(w *worker, first Report, now Time) {
-	w.dropExpiredStarts(now)
+// suspendLateStarts prepares a worker's runs for its new incarnation. A run with an unanswered start counts as unconfirmed and is
+// to be stopped, even if another attempt was confirmed, unless the incarnation's first report lists it: its task is not started
+// elsewhere until the stop is confirmed.
+func (p *Pool) suspendLateStarts(w *worker, first Report, now Time) {
 	running := make(map[TaskID]bool, len(first.Running))
 	for _, rt := range first.Running {
 		running[rt.Task] = true
 	}
 	for id, s := range w.unanswered {
-		r := w.runs[id]
-		switch {
-		case running[id]:
-		case r == nil || r.number > s.run:
-			p.enqueueOrder(Order{Kind: OrderStop, Worker: w.info.ID, Task: id, Run: s.run})
-		default:
+		if r := w.runs[id]; r != nil && r.number <= s.run && !running[id] {
 			r.activeSince = 0
 			p.stop(r, now)
 		}
 	}
 }
+
+// stopLateStarts orders a worker to stop the starts that were sent to its earlier incarnations and had no answer. It repeats
+// the order until the worker confirms it, and forgets the starts that can no longer be carried out.
+func (p *Pool) stopLateStarts(w *worker, now Time) {
+	for id, s := range w.unanswered {
+		if now.Steady-s.at > lateStartHorizon {
+			delete(w.unanswered, id)
+			continue
+		}
+		known := w.incarnation == 0 || w.incarnation == s.incarnation || w.incarnation == s.stoppedIn
+		if known || now.Steady-s.stopSentAt < orderRetryInterval {
+			continue
+		}
+		if r := w.runs[id]; r != nil && r.number <= s.run {
+			// The run's own orders stop it, or its end is awaited.
+			continue
+		}
+		s.stopSentAt = now.Steady
+		w.unanswered[id] = s
+		p.enqueueOrder(Order{Kind: OrderStop, Worker: w.info.ID, Task: id, Run: s.run})
+	}
+}
--- a/job/model_test.go
+++ b/job/model_test.go
@@ -22,13 +22,18 @@
 )
 
 const (
-	modelStep   = 20 * time.Millisecond
-	modelLease  = 5 * time.Second
-	modelTTL    = 2 * time.Second
-	modelFaults = 12 * time.Second // end of the faults
+	modelStep  = 20 * time.Millisecond
+	modelLease = 5 * time.Second // that the owner requests
+	// modelMaxLease is the longest lease that a worker grants, modelTransit the time that a prompt order takes at most.
+	modelMaxLease = 6 * time.Second
+	modelTransit  = 30 * time.Millisecond
+	modelTTL      = 2 * time.Second
+	modelFaults   = 12 * time.Second // end of the faults
 	// modelHorizon is when all jobs must have ended. Long-running jobs take up to a quarter of the workers.
 	modelHorizon        = 75 * time.Second
 	modelTimeout        = 300 * time.Millisecond
+	modelOrderTimeout   = 700 * time.Millisecond
+	modelSettling       = 3 * time.Second        // covers the stop of a late start and its repetitions
 	modelRestart        = 600 * time.Millisecond // from the crash of a worker to its restart
 	modelPromptDelay    = 60 * time.Millisecond  // orders that take longer are late
 	modelStartup        = 300 * time.Millisecond // until a long-running task is available
@@ -62,6 +67,7 @@
 	number      int64
 	highestRun  map[TaskID]int
 	capacity    Resources
+	contactedAt time.Duration // when this incarnation first answered a report request; 0 before
 }
 
 // modelOwner is an owner with its ownership epoch.
@@ -125,9 +131,15 @@
 // unreachable reports whether a worker receives nothing.
 func (w *modelWorker) unreachable(now Time) bool { return w.partitioned || now.Steady < w.downUntil }
 
+// settled reports whether the owner has had the time to order an incarnation to stop the late starts of earlier ones. A late start
+// that an incarnation carries out before its first contact with the owner can't be prevented.
+func (w *modelWorker) settled(now Time) bool {
+	return w.contactedAt != 0 && now.Steady-w.contactedAt > modelSettling
+}
+
 func (m *model) restart(w *modelWorker) {
 	w.incarnation++
-	w.fence, w.expires, w.number = 0, 0, 0
+	w.fence, w.expires, w.number, w.contactedAt = 0, 0, 0, 0
 	w.running, w.highestRun, w.ended = make(map[TaskID]*modelRun), make(map[TaskID]int), nil
 }
 
@@ -139,7 +151,7 @@
 		records = append(records, Record{Key: k, Value: v})
 	}
 	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
-	lease := modelLease + modelLease/30
+	lease := modelMaxLease + modelTransit
 	o := &modelOwner{
 		epoch: m.epoch, answered: make(map[string]time.Duration), nextReport: make(map[string]time.Duration),
 		pendingReport: make(map[string]time.Duration),
@@ -171,7 +183,7 @@
 	case m.chance(0.04):
 		m.inFlight = append(m.inFlight, message{m.now.Steady + time.Duration(m.rnd.IntN(6000))*time.Millisecond, f})
 	default:
-		m.inFlight = append(m.inFlight, message{m.now.Steady + time.Duration(m.rnd.IntN(30))*time.Millisecond, f})
+		m.inFlight = append(m.inFlight, message{m.now.Steady + time.Duration(m.rnd.IntN(int(modelTransit/time.Millisecond)))*time.Millisecond, f})
 	}
 }
 
@@ -229,6 +241,10 @@
 		case m.chance(0.001):
 			m.restart(w)
 			w.downUntil = m.now.Steady + modelRestart
+			if m.rnd.IntN(2) == 0 {
+				cut := w.downUntil + time.Duration(m.rnd.IntN(1500))*time.Millisecond
+				m.inFlight = append(m.inFlight, message{cut, func() { w.partitioned = m.faulty() }})
+			}
 		}
 		if !m.faulty() {
 			w.partitioned = false
@@ -324,15 +340,29 @@
 func (m *model) sendOrder(o *modelOwner, order Order) {
 	w := m.workers[int(order.Worker[1]-'0')]
 	expires := m.now.Steady + modelLease
-	sent, incarnation := m.now.Steady, w.incarnation
+	sent, known := m.now.Steady, o.pool.workers[w.id].incarnation
 	if m.chance(0.03) {
 		m.send(func() { o.pool.applyResult(order, ResultNotSent, m.now) })
 		return
 	}
+	answered := false
+	m.inFlight = append(m.inFlight, message{sent + modelOrderTimeout, func() {
+		if !answered {
+			o.pool.applyResult(order, ResultNoAnswer, m.now)
+		}
+		answered = true
+	}})
 	m.send(func() {
-		if w.unreachable(m.now) || w.incarnation != incarnation {
+		if w.unreachable(m.now) {
 			return
 		}
+		if w.incarnation != known {
+			if m.now.Steady-sent > modelTransit && !w.settled(m.now) {
+				return
+			}
+			// The end of the lease is far in the future on the clock of this incarnation, which shortens it.
+			expires = m.now.Steady + modelMaxLease
+		}
 		if order.Kind == OrderStop && o.epoch >= w.fence && m.now.Steady-sent <= modelPromptDelay {
 			m.checkBudget(w, order)
 		}
@@ -340,8 +370,11 @@
 		m.send(func() {
 			if fenced {
 				o.ownerUntil = 0
+			}
+			if fenced || answered {
 				return
 			}
+			answered = true
 			o.pool.applyResult(order, result, m.now)
 		})
 	})
@@ -382,6 +415,9 @@
 			return
 		}
 		w.fence = o.epoch
+		if w.contactedAt == 0 {
+			w.contactedAt = m.now.Steady
+		}
 		w.expires = max(w.expires, expires)
 		m.acknowledge(w, status.StableEnd)
 		rep := w.report(sent, m.now)
--- a/job/order.go
+++ b/job/order.go
@@ -171,6 +171,7 @@
 		p.event(Event{Kind: "stop failed", Task: o.Task, Run: o.Run, Worker: o.Worker, Count: int(result)})
 		return
 	}
+	w.recordStopped(o)
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.activeSince == 0 {
 		r.activeSince = now.Steady
 	}
@@ -179,6 +180,7 @@
 // retryOrders sends orders again that have had no effect yet.
 func (p *Pool) retryOrders(now Time) {
 	for _, w := range p.sortedWorkers() {
+		p.stopLateStarts(w, now)
 		for _, r := range w.sortedRuns() {
 			if r.state == runActive || now.Steady-r.orderedAt < orderRetryInterval {
 				continue
