job: a confirmed stop counts for the incarnation that it was sent to

An order carries the incarnation for which it was decided; a confirmation for another one is ignored and the stop repeated.

TestStopOfEarlierIncarnation fails with the check switched off.

--- a/job/incarnation_test.go
+++ b/job/incarnation_test.go
@@ -170,3 +170,26 @@
 		t.Errorf("stopped %+v long after its start", orders)
 	}
 }
+
+// TestStopOfEarlierIncarnation guards against a start that counts as stopped by a confirmation of the worker's earlier
+// incarnation, while the next one can still carry it out.
+func TestStopOfEarlierIncarnation(t *testing.T) {
+	p := newTestPool(t, "a")
+	p.submit(oneStep("j", 1, 1000))
+	var stop []Order
+	for len(stop) == 0 {
+		for _, o := range starts(p.tick()) {
+			p.Started(o, ResultNoAnswer, p.now)
+		}
+		p.advance(orderRetryInterval)
+		stop = stops(p.tick())
+	}
+	p.reborn("a", 2)
+	p.Stopped(stop[0], ResultDone, p.now)
+	p.advance(orderRetryInterval)
+	p.reborn("a", 2)
+	orders := p.tick()
+	if len(starts(orders)) != 0 || len(stops(orders)) != 1 {
+		t.Errorf("orders %+v, want the repeated stop", orders)
+	}
+}
--- a/job/latestart.go
+++ b/job/latestart.go
@@ -40,7 +40,7 @@
 // suspendLateStarts prepares a worker's runs for its new incarnation. A run with an unanswered start counts as unconfirmed and is
 // to be stopped, even if another attempt was confirmed, unless the incarnation's first report lists it: its task is not started
 // elsewhere until the stop is confirmed.
-func (p *Pool) suspendLateStarts(w *worker, first Report, now Time) {
+func (w *worker) suspendLateStarts(first Report, now Time) {
 	running := make(map[TaskID]bool, len(first.Running))
 	for _, rt := range first.Running {
 		running[rt.Task] = true
@@ -48,7 +48,8 @@
 	for id, s := range w.unanswered {
 		if r := w.runs[id]; r != nil && r.number <= s.run && !running[id] {
 			r.activeSince = 0
-			p.stop(r, now)
+			r.state = runStopping
+			r.orderedAt = now.Steady - orderRetryInterval // retryOrders sends the stop to the new incarnation
 		}
 	}
 }
--- a/job/order.go
+++ b/job/order.go
@@ -32,6 +32,8 @@
 	Checkpoint   string // checkpoint from which a start resumes
 	Ticket       string // from the advice service
 	SpeedPercent int    // for a speed order, as a percentage of full speed
+	// Incarnation is that of the worker when the order was decided; 0 if it was not known.
+	Incarnation int64
 }
 
 // Result is the outcome of an order.
@@ -59,7 +61,12 @@
 	ResultNotSent
 )
 
-func (p *Pool) enqueueOrder(o Order) { p.orders = append(p.orders, o) }
+func (p *Pool) enqueueOrder(o Order) {
+	if w := p.workers[o.Worker]; w != nil {
+		o.Incarnation = w.incarnation
+	}
+	p.orders = append(p.orders, o)
+}
 
 // TakeOrders returns the orders to send.
 func (p *Pool) TakeOrders() []Order {
@@ -161,7 +168,8 @@
 }
 
 // Stopped applies the outcome of a stop order. After a confirmed stop the run can no longer start, so the next report
-// decides about a start that was not answered.
+// decides about a start that was not answered. That holds for the incarnation that confirmed it: a confirmation that arrives
+// after the next incarnation has reported may come from the earlier one, and the stop is repeated.
 func (p *Pool) Stopped(o Order, result Result, now Time) {
 	w := p.workers[o.Worker]
 	if w == nil {
@@ -171,6 +179,9 @@
 		p.event(Event{Kind: "stop failed", Task: o.Task, Run: o.Run, Worker: o.Worker, Count: int(result)})
 		return
 	}
+	if o.Incarnation != w.incarnation {
+		return
+	}
 	w.recordStopped(o)
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.activeSince == 0 {
 		r.activeSince = now.Steady
--- a/job/report.go
+++ b/job/report.go
@@ -68,7 +68,7 @@
 	}
 	if w.incarnation != 0 && rep.Incarnation != w.incarnation {
 		p.event(Event{Kind: "worker reborn", Worker: w.info.ID})
-		p.suspendLateStarts(w, rep, now)
+		w.suspendLateStarts(rep, now)
 		p.endIncarnation(w, "worker reborn", w.lastReportSentAt, now)
 		p.startIncarnation(w, rep.Incarnation)
 	}
--- a/job/worker.go
+++ b/job/worker.go
@@ -301,7 +301,9 @@
 
 // usable reports whether a worker may get a start.
 func (w *worker) usable(now Time) bool {
-	return w.listed && w.reported && w.described() && !w.refusing && w.storedIncarnation == w.incarnation && len(w.strays) == 0 && !w.draining() && !w.evacuating &&
+	known := w.listed && w.reported && w.described() && w.storedIncarnation == w.incarnation
+	staying := !w.refusing && !w.draining() && !w.evacuating
+	return known && staying && len(w.strays) == 0 &&
 		now.Steady >= w.backoffUntil && now.Steady >= w.fleetHoldUntil && now.Steady-w.lastReportSentAt < maxReportAge
 }
 
