jobmanager: give the link test a client of the workers

It depends on whether the step comes before the end of the test.

The node of the test now has a client that answers no request for a report. The check is unchanged.

--- a/jobmanager/link_test.go
+++ b/jobmanager/link_test.go
@@ -43,6 +43,7 @@
 // ends of its next incarnation that occur while the request waits there: their tasks were started again.
 func TestAcknowledgementDoesNotWait(t *testing.T) {
 	s := newTestShard(t, &recordingStore{})
+	s.node.workers = &countingWorkers{}
 	var l *link
 	var acks []RenewLeaseRequest
 	s.runInLoop(s.node.ctx, func(now job.Time) {
@@ -70,12 +71,16 @@
 	}
 }
 
-// countingWorkers counts the orders that are sent.
+// countingWorkers counts the orders that are sent. It answers no request for a report.
 type countingWorkers struct {
-	Workers
 	sent atomic.Int32
 }
 
+func (w *countingWorkers) RenewLease(ctx context.Context, _ Target, _ RenewLeaseRequest) (*RenewLeaseReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 func (w *countingWorkers) Send(context.Context, Target, job.Order, int64) (job.Result, error) {
 	w.sent.Add(1)
 	return job.ResultDone, nil
