--- a/job/latestart.go
+++ b/job/latestart.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// suspendLateStarts prepares a worker's runs for its new incarnation. A run with an unanswered start counts as unconfirmed and is
-// to be stopped, even if another attempt was confirmed, unless the incarnation's first report lists it: its task is not started
-// elsewhere until the stop is confirmed.
+// suspendLateStarts marks runs as unconfirmed and to be stopped when a worker reports a new incarnation. It selects the runs
+// with an unanswered start that the first report does not list, even if another attempt of the start was confirmed. Their
+// tasks start elsewhere only after the stop is confirmed.
 func (w *worker) suspendLateStarts(first Report, now Time) {
 	running := make(map[TaskID]bool, len(first.Running))
 	for _, rt := range first.Running {
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -91,7 +91,7 @@
 		l.pool.LeaseExtended(l.worker, now)
 	}
 	if r.AckedUpTo > 0 || !l.pool.EndsStored(l.worker) {
-		// With ends that are not acknowledged yet the worker would answer at once, because it repeats them.
+		// The worker repeats ends that are not acknowledged, so it would answer at once.
 		r.Wait = 0
 	}
 	return r, l.target(now), true
