job, jobmanager, platform: customers of the configuration reach the pools

Cause: the configuration names customers with API keys, a weight and a cap, and marks routes as public; the job manager ignored all of it. Ruled out: separate loading of these fields by each later part, because three parts need the same ones.

Change: the fields are decoded, a job carries its customer, each pool gets the limits of the customers with each version of the configuration, and the settings name the limits of memory and descriptors and the bound of key revocation. Nothing uses them yet.

--- a/job/pool.go
+++ b/job/pool.go
@@ -61,6 +61,7 @@
 	backlog          backlog
 	arrivals         arrivals
 	events           []Event
+	customers        map[string]CustomerLimits // by name
 }
 
 // runState is what the owner knows about a run.
--- a/job/spec.go
+++ b/job/spec.go
@@ -103,6 +103,8 @@
 	AcceptedMs  int64 `cbor:"13,keyasint"` // Unix time
 	// NeedsAdvice states that tasks of the queue may start only with a ticket from the advice service.
 	NeedsAdvice bool `cbor:"14,keyasint,omitempty"`
+	// Customer is the customer that submitted the job; empty if the call was not authenticated.
+	Customer string `cbor:"15,keyasint,omitempty"`
 }
 
 // Validate returns an error for the first field that is out of bounds.
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -76,6 +76,17 @@
 	ObjectiveFactor float64
 	ObjectiveMargin time.Duration
 	NeedsAdvice     bool
+	// Public means that callers need no API key.
+	Public bool
+}
+
+// Customer is a customer as configured.
+type Customer struct {
+	Name string
+	// Keys holds the API keys with which the customer's calls are authenticated.
+	Keys []string
+	// Limits are the share and the cap of the customer.
+	Limits job.CustomerLimits
 }
 
 // PoolConfig is a pool as configured.
@@ -89,7 +100,8 @@
 	Version      int64
 	Routes       []Route
 	Pools        []PoolConfig
-	MaxBodyBytes int64 // maximum size of a request body; 0 or less selects a default
+	Customers    []Customer // empty if calls are not authenticated
+	MaxBodyBytes int64      // maximum size of a request body; 0 or less selects a default
 }
 
 // OperatorChange is what operators have declared since the previous change.
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -32,6 +32,9 @@
 	// one. Zero means unknown.
 	CPUShare float64 `json:"cpuShare"`
 	CPUSpeed float64 `json:"cpuSpeed"`
+	// MemoryMB and MaxFDs are the limits of memory and of open descriptors of the process. Zero means unknown.
+	MemoryMB int64 `json:"memoryMB"`
+	MaxFDs   int64 `json:"maxFDs"`
 	// Shards is the number of partitions of the store's topics.
 	Shards int    `json:"shards"`
 	Limits Limits `json:"bounds"`
@@ -47,6 +50,9 @@
 	OrderLeaseMs    int64   `json:"orderLeaseMs"` // minimum time between orders of two holders for the same machine
 	CallBytes       int     `json:"callBytes"`    // maximum size of one append
 	RecordBytes     int     `json:"recordBytes"`
+	// KeyRevocationMs is the time after the acknowledgement of a configuration from which a key that it removed is of no use
+	// on any node. Zero means that there is no such bound.
+	KeyRevocationMs int64 `json:"keyRevocationMs"`
 }
 
 // LoadSettings reads and validates a settings file.
@@ -93,6 +99,10 @@
 		return errors.Errorf("shards: must be at least 1, not %d", s.Shards)
 	case s.Limits.MaxLeaseMs < 1000:
 		return errors.Errorf("bounds.maxLeaseMs: must be at least 1000, not %d", s.Limits.MaxLeaseMs)
+	case s.MemoryMB < 0 || s.MaxFDs < 0:
+		return errors.New("memoryMB and maxFDs: must not be negative")
+	case s.Limits.KeyRevocationMs < 0:
+		return errors.New("bounds.keyRevocationMs: must not be negative")
 	case s.Limits.GraceS <= 0 || s.Limits.StatusS <= 0:
 		return errors.New("bounds.graceS and bounds.statusS: must be positive")
 	}
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -93,6 +93,7 @@
 	queues                             map[queueKey]*heldQueue
 	queuesCheckedAt                    time.Duration
 	homes                              map[string]queueHome // by address of the queue; in fleetShard only
+	customersVersions                  map[string]int64     // by pool; version of the configuration whose customers were applied
 	nonce                              string               // distinguishes the claim of this ownership from other claims
 	seq                                int64                // number of the last append; until then, of the claim
 	previousClaim                      claim                // claim of the previous owner
@@ -121,6 +122,8 @@
 		evacuationExpiry: make(map[string]time.Duration),
 		queues:           make(map[queueKey]*heldQueue),
 		homes:            make(map[string]queueHome),
+
+		customersVersions: make(map[string]int64),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(n.ctx)
 	return s
@@ -318,6 +321,7 @@
 		s.pool(lj.Spec.Pool, now)
 	}
 	s.loaded.Specs = nil
+	s.syncCustomers()
 	entries, version := s.node.directory()
 	for name, p := range s.pools {
 		if s.directoryVersions[name] != version {
@@ -327,6 +331,29 @@
 	}
 }
 
+// syncCustomers passes the customers of the configuration to the pools.
+func (s *shard) syncCustomers() {
+	config := s.node.Config()
+	if config == nil {
+		return
+	}
+	for name, p := range s.pools {
+		if s.customersVersions[name] != config.Version {
+			s.customersVersions[name] = config.Version
+			p.SetCustomers(config.customerLimits())
+		}
+	}
+}
+
+// customerLimits returns the limits of the customers by name.
+func (c *Config) customerLimits() map[string]job.CustomerLimits {
+	limits := make(map[string]job.CustomerLimits, len(c.Customers))
+	for _, customer := range c.Customers {
+		limits[customer.Name] = customer.Limits
+	}
+	return limits
+}
+
 // pool returns a pool of the shard and creates it if necessary.
 func (s *shard) pool(name string, now job.Time) *job.Pool {
 	if p := s.pools[name]; p != nil {
