jobmanager, platform: acknowledge run ends without another round through the owner

Cause: since run ends are acknowledged in a request of their own, and its answer is a report that the owner of the pool handles like any other.

Sending the acknowledgement with the waiting request again would bring back the fault that mended.

Change: the client of the workers sends the acknowledgement, which does not wait, and then the waiting request. With relays both are made by the relay, so the owner handles one report where it handled two.

--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -139,7 +139,9 @@
 
 // RenewLeaseRequest extends the lease of the runs on a worker and asks the worker for a report.
 type RenewLeaseRequest struct {
-	AckedUpTo int64 // the worker may discard run ends up to this number
+	// AckedUpTo is the number up to which the worker may discard run ends; 0 acknowledges none. The worker is told so in a
+	// message that does not wait.
+	AckedUpTo int64
 	ExpiresMs int64 // new lease expiry on the worker's clock; 0 leaves the lease unchanged
 	Wait      time.Duration
 }
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -70,8 +70,8 @@
 // nextRenewLease prepares the next RenewLease request. It returns false if the link is to be closed because the pool
 // has forgotten the worker.
 //
-// Run ends are acknowledged once, in a request that does not wait. The worker may restart while the request is on its way:
-// its next incarnation would take the number for its own ends, and would forget those that occur while the request waits.
+// Run ends are acknowledged once. The worker may restart while the request is on its way, and its next incarnation would
+// take the number for its own ends.
 func (l *link) nextRenewLease(now job.Time) (RenewLeaseRequest, Target, bool) {
 	status, ok := l.pool.Status(l.worker, now)
 	if !ok {
@@ -90,7 +90,7 @@
 		r.ExpiresMs = l.leaseExpiry(now)
 		l.pool.LeaseExtended(l.worker, now)
 	}
-	if r.AckedUpTo > 0 || !l.pool.EndsStored(l.worker) {
+	if !l.pool.EndsStored(l.worker) {
 		// The worker repeats ends that are not acknowledged, so it would answer at once.
 		r.Wait = 0
 	}
