job, jobmanager: what is learned of interference is stored and counted

Cause: a new owner would start harmful tasks at full speed again, and operators could not see what the estimates do. Ruled out: an append of its own for the record, for the calls; a record that stays for ever, since a shard with records must have an owner; gauges counted in each step, since counting the pairs of 2,000 kinds takes longer than a step.

Change: the 64 largest effects of a pool go into the record i/POOL, at most every 5 s with a commit that is made anyway, at most 4,000 bytes, deleted when everything is forgotten.

--- a/job/commit.go
+++ b/job/commit.go
@@ -43,6 +43,7 @@
 	for _, r := range c.workers {
 		c.Records = append(c.Records, r)
 	}
+	c.Records = append(c.Records, p.takeLearned()...)
 	for id, w := range p.workers {
 		c.incarnations[id] = w.recordedIncarnation
 		if w.processedEnd > w.stableEnd {
--- a/job/interference.go
+++ b/job/interference.go
@@ -36,6 +36,12 @@
 	estimator *interference.Estimator
 	stats     InterferenceStats
 	exposures []interference.Exposure // reused by each report
+	statsAt   time.Duration           // when the stats were last taken
+	// changed states that there is evidence since the last snapshot, and stored that the store has a record. A record that
+	// is not nil is to be stored with the next commit.
+	changed, stored bool
+	snapshotAt      time.Duration
+	record          *Record
 }
 
 // InterferenceStats counts what was done about interference.
@@ -50,12 +56,20 @@
 	Pairs      int   // pairs with recent evidence now
 }
 
-// TakeInterferenceStats returns the counts since the last call.
-func (p *Pool) TakeInterferenceStats(now Time) InterferenceStats {
+// statsInterval is the least time between the stats of a pool: counting the pairs takes longer than a scheduling step of a
+// small pool.
+const statsInterval = time.Second
+
+// TakeInterferenceStats returns the counts since the last ones. It returns false if those were taken less than a second
+// ago.
+func (p *Pool) TakeInterferenceStats(now Time) (InterferenceStats, bool) {
+	if now.Steady-p.interference.statsAt < statsInterval {
+		return InterferenceStats{}, false
+	}
 	s := p.interference.stats
-	p.interference.stats = InterferenceStats{}
+	p.interference.stats, p.interference.statsAt = InterferenceStats{}, now.Steady
 	s.Kinds, s.Pairs = p.interference.estimator.Size(now.Steady)
-	return s
+	return s, true
 }
 
 // coLocation is the part of a worker's runs that can interfere.
@@ -143,6 +157,7 @@
 		}
 		if p.learnFrom(w, r, now) {
 			p.interference.stats.Evidence++
+			p.interference.changed = p.interference.changed || len(c.bestEffort) > 0
 		} else {
 			p.interference.stats.NoEvidence++
 		}
--- a/job/interference_test.go
+++ b/job/interference_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -24,6 +25,7 @@
 	submitted int
 	orders    []Order // all orders, if kept
 	keep      bool
+	learned   []Record // records of what was learned
 	result    simResult
 }
 
@@ -144,6 +146,11 @@
 
 func (s *interferenceSim) commit() {
 	for c := s.pool.TakeCommit(); c != nil; c = s.pool.TakeCommit() {
+		for _, r := range c.Records {
+			if strings.HasPrefix(r.Key, keyLearned) {
+				s.learned = append(s.learned, r)
+			}
+		}
 		s.pool.Committed(c, s.now)
 	}
 }
@@ -264,7 +271,7 @@
 			sums[i].harmed += r.harmed
 			sums[i].work += r.work
 			sums[i].longest = max(sums[i].longest, r.longest)
-			s := sim.pool.TakeInterferenceStats(sim.now)
+			s, _ := sim.pool.TakeInterferenceStats(sim.now)
 			stats.KeptApart += s.KeptApart
 			stats.Together += s.Together
 			stats.Evidence += s.Evidence
@@ -319,6 +326,45 @@
 	}
 }
 
+// TestLearnedIsHandedOver guards against an owner that starts without what the earlier one knew, against a commit that is made
+// only for it, and against a record without an image to learn of.
+func TestLearnedIsHandedOver(t *testing.T) {
+	for _, images := range []bool{true, false} {
+		sim := newInterferenceSim(1, images, false)
+		for sim.now.Steady < time.Hour+30*time.Second {
+			sim.step()
+			if sim.pool.HasUncommitted() {
+				t.Fatal("a snapshot alone leads to a commit")
+			}
+		}
+		if !images {
+			if len(sim.learned) > 0 {
+				t.Error("a record without images")
+			}
+			continue
+		}
+		if len(sim.learned) < 3 || len(sim.learned) > 6 {
+			t.Fatalf("%d records in 30 s, want one each 5 s", len(sim.learned))
+		}
+		last := sim.learned[len(sim.learned)-1]
+		if len(last.Value) > maxLearnedBytes {
+			t.Errorf("a record has %d bytes", len(last.Value))
+		}
+		next := New(Config{Pool: "pool"}, sim.now)
+		loaded := Decode([]Record{last, {Key: keyLearned + "other", Value: []byte{1}}})
+		next.Restore(loaded, sim.now)
+		_, known := next.interference.estimator.Size(sim.now.Steady)
+		if known == 0 || len(loaded.Problems) != 1 {
+			t.Errorf("%d pairs known to the next owner, problems %v", known, loaded.Problems)
+		}
+		sim.now.Steady += 5 * time.Minute
+		next.snapshotLearned(sim.now)
+		if r := next.takeLearned(); len(r) != 1 || len(r[0].Value) > 0 {
+			t.Errorf("records %+v after everything is forgotten, want the deletion", r)
+		}
+	}
+}
+
 // TestStopBesideHarmedTaskIsRepeated guards against a task that works on beside one over its target, because the only order to
 // stop it was lost or overtaken by the raise before. Tasks without an image get the orders that they got before.
 func TestStopBesideHarmedTaskIsRepeated(t *testing.T) {
--- a/job/pool.go
+++ b/job/pool.go
@@ -176,6 +176,7 @@
 		w.listed = false
 		w.restored = true
 	}
+	p.restoreLearned(l.learned[p.cfg.Pool], now)
 }
 
 func (p *Pool) restoreJob(lj LoadedJob, now Time) {
@@ -329,6 +330,7 @@
 	p.retryOrders(now)
 	p.evacuate(now)
 	p.adjustSpeeds(now)
+	p.snapshotLearned(now)
 }
 
 func (p *Pool) tickJob(id string, j *jobState, now Time) {
--- a/job/record.go
+++ b/job/record.go
@@ -23,6 +23,8 @@
 	keySpec     = "s/"
 	keyProgress = "p/"
 	keyWorker   = "w/"
+	// keyLearned is followed by the name of a pool.
+	keyLearned = "i/"
 )
 
 // Record is a stored key-value pair. An empty value deletes the key.
@@ -96,6 +98,7 @@
 type Loaded struct {
 	Specs   []LoadedJob
 	Workers map[string][]WorkerInfo // by pool
+	learned map[string]learnedRecord
 	// Other holds records that do not belong to this package.
 	Other    []Record
 	Problems []error // records that could not be decoded; they are skipped
@@ -111,7 +114,7 @@
 
 // Decode decodes stored records.
 func Decode(records []Record) *Loaded {
-	l := &Loaded{Workers: make(map[string][]WorkerInfo)}
+	l := &Loaded{Workers: make(map[string][]WorkerInfo), learned: make(map[string]learnedRecord)}
 	progress := make(map[string]progressRecord)
 	for _, r := range records {
 		if err := l.addRecord(r, progress); err != nil {
@@ -157,6 +160,12 @@
 			return err
 		}
 		l.Workers[v.Pool] = append(l.Workers[v.Pool], v.Info)
+	case keyLearned:
+		var v learnedRecord
+		if err := cbor.Unmarshal(r.Value, &v); err != nil {
+			return err
+		}
+		l.learned[rest] = v
 	default:
 		l.Other = append(l.Other, r)
 	}
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -296,6 +296,9 @@
 			s.node.wg.Go(func() { s.advise(p, r) })
 		}
 		s.logEvents(name, p)
+		if stats, ok := p.TakeInterferenceStats(now); ok {
+			s.node.metrics.recordInterference(name, stats)
+		}
 	}
 	s.commit(now)
 }
@@ -415,6 +418,9 @@
 // close stops the shard. Waiting callers are told that the outcome is unknown.
 func (s *shard) close() {
 	close(s.done)
+	for name := range s.pools {
+		s.node.metrics.dropInterference(name)
+	}
 	for id := range s.waiters {
 		s.answerWaiters(id, true, outcome{err: errUncertain})
 	}
