jobmanager: learn interference only where the settings say so

Cause: deployments that run today have tasks with images, and placement and speeds would change for them. Ruled out: a switch by the presence of images, for that reason.

Change: the setting learnInterference, off by default, decides whether the pools of a node learn.

Result: go test ./job ./jobmanager ./interference passes; without the setting the pools ignore interference, and TestInterferenceNeedsImages shows that decisions are the same then.

--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -35,6 +35,9 @@
 	// MemoryMB and MaxFDs are the limits of memory and of open descriptors of the process. Zero means unknown.
 	MemoryMB int64 `json:"memoryMB"`
 	MaxFDs   int64 `json:"maxFDs"`
+	// LearnInterference makes the owners of pools learn which tasks slow each other down, place them apart and choose the
+	// speeds of best-effort tasks by it.
+	LearnInterference bool `json:"learnInterference"`
 	// Shards is the number of partitions of the store's topics.
 	Shards int    `json:"shards"`
 	Limits Limits `json:"bounds"`
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -377,6 +377,7 @@
 		InheritedFleetTimeout: inheritedFleetTimeout,
 		FinishedRetention:     time.Duration(limits.StatusS * float64(time.Second)),
 		CrossRackFactor:       limits.CrossRackFactor,
+		IgnoreInterference:    !s.node.settings.LearnInterference,
 	}, now)
 	p.Restore(s.loaded, now)
 	s.pools[name] = p
