--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/apikey"
 	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 )
@@ -84,7 +85,7 @@
 type Customer struct {
 	Name string
 	// Keys holds the API keys with which the customer's calls are authenticated.
-	Keys []string
+	Keys []apikey.Key
 	// Limits are the share and the cap of the customer.
 	Limits job.CustomerLimits
 }
