platform, jobmanager: authenticate callers and check the owners of jobs

Cause: any caller could submit, cancel and ask for any job. Lookups of routes scanned all routes, for each call and for each shard every 100 ms; a claim of a queue compared all routes, so that a version with 1,400 new routes cost 1,400 scans. Ruled out: the end of a poll as the origin of the age, since a late answer shows the log as it was earlier; a fresh read that moves the position of the operators' loop, since the loop would miss waves; a check of the key by the owner of the pool.

A node publishes that time after the configuration. Calls with unknown keys share fresh reads, at least 250 ms apart. The callers' handler decides on the key, again after a slow body, and calls carry the customer; the owner of the pool refuses jobs of other customers. Routes, queues of a shard and keys are found by an index built once a version. Events, metrics and the operators' section are included. Without tenants no call is checked and the polls are as before.

--- a/command/trace.go
+++ b/command/trace.go
@@ -19,19 +19,21 @@
 
 // logLine is a line of a node's log. Fields that the line does not contain are zero.
 type logLine struct {
-	Time   time.Time `json:"time"`
-	Node   string    `json:"node"`
-	Msg    string    `json:"msg"`
-	Job    string    `json:"job"`
-	Task   string    `json:"task"`
-	Run    int       `json:"run"`
-	Pool   string    `json:"pool"`
-	Queue  string    `json:"queue"`
-	Worker string    `json:"worker"`
-	Epoch  int64     `json:"epoch"`
-	Why    string    `json:"why"`
-	AgeMs  int64     `json:"ageMs"`
-	Count  int64     `json:"count"`
+	Time  time.Time `json:"time"`
+	Node  string    `json:"node"`
+	Msg   string    `json:"msg"`
+	Job   string    `json:"job"`
+	Task  string    `json:"task"`
+	Run   int       `json:"run"`
+	Pool  string    `json:"pool"`
+	Queue string    `json:"queue"`
+	// Customer is the customer of a call.
+	Customer string `json:"customer"`
+	Worker   string `json:"worker"`
+	Epoch    int64  `json:"epoch"`
+	Why      string `json:"why"`
+	AgeMs    int64  `json:"ageMs"`
+	Count    int64  `json:"count"`
 }
 
 // decisiveEvents maps the log messages that determine the result of a job for its caller to an explanation.
@@ -176,6 +178,7 @@
 	number("run", int64(l.Run))
 	text("worker", l.Worker)
 	text("queue", l.Queue)
+	text("customer", l.Customer)
 	text("pool", l.Pool)
 	number("epoch", l.Epoch)
 	number("ageMs", l.AgeMs)
--- a/job/commit.go
+++ b/job/commit.go
@@ -85,7 +85,7 @@
 	if j.phase == Active {
 		return j.spec
 	}
-	return &Spec{ID: j.spec.ID, Queue: j.spec.Queue, Pool: j.spec.Pool, AcceptedMs: j.spec.AcceptedMs}
+	return &Spec{ID: j.spec.ID, Queue: j.spec.Queue, Pool: j.spec.Pool, AcceptedMs: j.spec.AcceptedMs, Customer: j.spec.Customer}
 }
 
 // encodeProgress encodes the progress of a job. After the job has ended it returns nil, which deletes the key.
--- a/job/customer.go
+++ b/job/customer.go
@@ -9,5 +9,14 @@
 	Cap Resources
 }
 
+// CustomerOf returns the customer and the queue of a job. The last result is false when there is no such job.
+func (p *Pool) CustomerOf(id string) (customer, queue string, known bool) {
+	j := p.jobs[id]
+	if j == nil || j.removed {
+		return "", "", false
+	}
+	return j.spec.Customer, j.spec.Queue, true
+}
+
 // SetCustomers sets the limits of the customers, by name. They replace all earlier ones.
 func (p *Pool) SetCustomers(limits map[string]CustomerLimits) { p.customers = limits }
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -159,7 +159,7 @@
 		log.Event(jobmanager.LogEvent{Component: "directory", Event: "entry ignored", Reason: err.Error()})
 	}
 	return jobmanager.Platform{
-		Store: store, Group: store, Directory: directory, Operators: platform.NewOperatorSource(store),
+		Store: store, Group: store, Directory: directory, Operators: platform.NewOperatorSource(store, jobmanager.SystemClock{}, s.Limits.KeyRevocation()),
 		Workers: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines, store),
 		Advisor: platform.NewAdvisor(client, s.Advice),
 	}
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -103,12 +104,19 @@
 	Pools        []PoolConfig
 	Customers    []Customer // empty if calls are not authenticated
 	MaxBodyBytes int64      // maximum size of a request body; 0 or less selects a default
+
+	indexOnce sync.Once
+	built     *configIndex // use index
 }
 
 // OperatorChange is what operators have declared since the previous change.
 type OperatorChange struct {
 	Config *Config // nil if unchanged
 	Waves  []fleet.Wave
+	// Complete means that the read that gave the change reached the end of the operators' records. ReadAt is the steady time at
+	// which it began.
+	Complete bool
+	ReadAt   time.Duration
 	// Malformed holds an error for each declaration that could not be decoded.
 	Malformed []error
 }
@@ -117,6 +125,9 @@
 type OperatorSource interface {
 	// Next blocks until a change arrives. It returns an empty change if none arrives for some time.
 	Next(ctx context.Context) (*OperatorChange, error)
+	// ReadNow reads, without blocking for a change, from where the changes end that Next has returned and whose caller has called
+	// Next again. It returns a complete change or an error, and leaves out the waves. It may be called beside Next.
+	ReadNow(ctx context.Context) (*OperatorChange, error)
 }
 
 // Machines lists and changes the platform's machines.
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -51,13 +51,16 @@
 	Version int64  `cbor:"7,keyasint,omitempty"`
 	// RedirectedBy is the pool whose owner redirected the call to Pool.
 	RedirectedBy string `cbor:"8,keyasint,omitempty"`
+	// Customer is the customer in whose name the call is made: empty for a call without a key on a public route, nil if the
+	// version of the configuration has no customers. A call without the field is not checked.
+	Customer *string `cbor:"11,keyasint,omitempty"`
 	// MoveTo is the pool that takes the queue over from Pool.
 	MoveTo string `cbor:"9,keyasint,omitempty"`
 }
 
 // queueCall returns a call about a job, or about no job if id is empty.
 func queueCall(q QueueRef, id string) call {
-	return call{Pool: q.Pool, Queue: q.Name, Address: q.Address, Version: q.Version, ID: id}
+	return call{Pool: q.Pool, Queue: q.Name, Address: q.Address, Version: q.Version, Customer: q.Customer, ID: id}
 }
 
 // redirect directs a call to the pool that the owner of another pool named.
@@ -81,6 +84,7 @@
 	codeUnknown             // there is no such job
 	codeStoreDown           // nothing was stored, because the store does not answer
 	codeMoved               // the call had no effect; another pool answers it
+	codeForeign             // the call had no effect; the job belongs to another customer
 )
 
 // reply is the owner's answer to a call.
@@ -162,6 +166,11 @@
 				return reply{}, uncertainError()
 			}
 			return r, nil
+		case codeForeign:
+			if uncertain {
+				return reply{}, uncertainError()
+			}
+			return reply{}, foreignJobError()
 		case codeStoreDown:
 			return reply{}, forwardError(uncertain, time.Duration(r.RetryMs)*time.Millisecond)
 		case codeUncertain:
@@ -253,6 +262,8 @@
 	switch {
 	case errors.Is(o.err, errNotOwner):
 		return reply{Code: codeNotOwner}
+	case errors.Is(o.err, errForeignJob):
+		return reply{Code: codeForeign}
 	case o.movedTo != "":
 		return reply{Code: codeMoved, Pool: o.movedTo}
 	case errors.Is(o.err, errStoreDown):
--- /dev/null
+++ b/jobmanager/keys.go
@@ -0,0 +1,157 @@
+package jobmanager
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/berylwharf/berylwharf/apikey"
+)
+
+const (
+	// freshReadInterval is the least time between the starts of two reads of the operators' records that calls wait for. It
+	// bounds what calls with unknown keys cost the store: 4 reads a second for each node.
+	freshReadInterval = 250 * time.Millisecond
+	// freshReadTimeout bounds one such read. A slow store answers within about 300 ms.
+	freshReadTimeout = 600 * time.Millisecond
+	// maxReadWaiters bounds the calls that wait for such reads, and so the memory that calls with unknown keys take.
+	maxReadWaiters = 1000
+)
+
+// View is what a node knows for deciding on a call.
+type View struct {
+	// Knowledge says how new the configuration is. It was read before Config.
+	Knowledge apikey.Knowledge
+	Config    *Config // nil if there is none yet
+	// Revocation is the time after which a removed key is of no use; 0 if there is no such bound.
+	Revocation time.Duration
+	// RetryAfter is when a call that the node can't decide on is worth a retry.
+	RetryAfter time.Duration
+}
+
+// View returns what the node knows.
+func (n *Node) View() View {
+	v := View{Revocation: n.settings.Limits.KeyRevocation(), RetryAfter: retryAfter(n.storeDownFor())}
+	// The order matters, see applyConfiguration.
+	if k := n.knowledge.Load(); k != nil {
+		v.Knowledge = *k
+	}
+	v.Config = n.config.Load()
+	return v
+}
+
+// CountKeyDecision counts a decision on the key of a call.
+func (n *Node) CountKeyDecision(o apikey.Outcome) { n.metrics.countKey(string(o)) }
+
+// registerConfigAge registers the gauge of the age of the configuration in milliseconds; -1 if no read was complete.
+func (n *Node) registerConfigAge() {
+	gauge := metrics.NewFunctionalGauge(func() int64 {
+		k := n.knowledge.Load()
+		if k == nil {
+			return -1
+		}
+		return (n.clock.Now().Steady - k.ReadAt).Milliseconds()
+	})
+	// The registry is new, so the name is not taken.
+	_ = n.metrics.registry.Register("keys.config.age.ms", gauge)
+}
+
+// freshRead is a read of the operators' records that calls wait for.
+type freshRead struct {
+	done chan struct{}
+	err  error // set before done is closed
+}
+
+// freshReads shares reads of the operators' records among the calls that need one which began after their arrival.
+type freshReads struct {
+	wake chan struct{}
+
+	mu      sync.Mutex
+	next    *freshRead // the read that has not begun yet; nil if no call waits for one
+	waiters int
+}
+
+func newFreshReads() *freshReads { return &freshReads{wake: make(chan struct{}, 1)} }
+
+// Errors of AwaitRead.
+var (
+	errTooManyWaiters = errors.New("too many calls wait for a read of the configuration")
+	errNodeClosed     = errors.New("the node is closed")
+)
+
+// AwaitRead waits until a read of the operators' records that began after the call of AwaitRead was applied to the
+// configuration. It returns an error if the read fails, the context ends or too many calls wait.
+func (n *Node) AwaitRead(ctx context.Context) error {
+	f := n.freshReads
+	f.mu.Lock()
+	if f.waiters >= maxReadWaiters {
+		f.mu.Unlock()
+		return errTooManyWaiters
+	}
+	f.waiters++
+	if f.next == nil {
+		f.next = &freshRead{done: make(chan struct{})}
+	}
+	r := f.next
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		f.waiters--
+		f.mu.Unlock()
+	}()
+	n.wakeUp(f.wake)
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.ctx.Done():
+		return errNodeClosed
+	}
+}
+
+// begin returns the read that calls wait for, or nil. Calls that come later wait for the next one.
+func (f *freshReads) begin() *freshRead {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.next
+	f.next = nil
+	return r
+}
+
+// makeFreshReads makes the reads that calls wait for, one at a time.
+func (n *Node) makeFreshReads() {
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-n.freshReads.wake:
+		}
+		r := n.freshReads.begin()
+		if r == nil {
+			continue
+		}
+		startedAt := n.clock.Now().Steady
+		r.err = n.readFresh()
+		close(r.done)
+		sleep(n.ctx, freshReadInterval-(n.clock.Now().Steady-startedAt))
+	}
+}
+
+// readFresh reads the operators' records up to their end and applies the configuration.
+func (n *Node) readFresh() error {
+	ctx, cancel := context.WithTimeout(n.ctx, freshReadTimeout)
+	defer cancel()
+	n.metrics.countKey("fresh read")
+	change, err := n.operators.ReadNow(ctx)
+	if err != nil {
+		n.metrics.countKey("fresh read failed")
+		n.log.Event(LogEvent{Component: "keys", Event: "read failed", Reason: err.Error()})
+		return err
+	}
+	n.applyConfiguration(change)
+	return nil
+}
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -21,13 +21,14 @@
 	Event     string // text of the message after the prefix
 	Job       string
 	Queue     string
+	Customer  string
 	Pool      string
 	Task      string
 	Run       int
 	Worker    string
 	Shard     int
 	// Epoch is the epoch of the shard. In the event "node: shards assigned" it is the generation of the group, in the
-	// events "config: ..." and "queue: ..." the version of the configuration, and in the events about waves and machines the number of
+	// events "config: ...", "queue: ..." and "keys: ..." the version of the configuration, and in the events about waves and machines the number of
 	// the wave.
 	Epoch  int64
 	Reason string // written under the key "why"
@@ -39,6 +40,7 @@
 	//   - "job: advice received": since the request for advice was sent
 	//   - "shard: taken over": duration of the takeover
 	//   - "fleet: controller may send orders": until the controller may send orders
+	//   - "keys: call refused": since the beginning of the last read that showed all of the operators' records; -1 if there is none
 	AgeMs int64
 	// Count is a number whose meaning depends on the event:
 	//   - "callers: refused": HTTP status of the response
@@ -117,6 +119,7 @@
 	}
 	set("job", e.Job)
 	set("queue", e.Queue)
+	set("customer", e.Customer)
 	set("pool", e.Pool)
 	set("task", e.Task)
 	set("worker", e.Worker)
--- a/jobmanager/metrics.go
+++ b/jobmanager/metrics.go
@@ -29,6 +29,11 @@
 	metrics.GetOrRegisterCounter("job."+strings.ReplaceAll(kind, " ", "."), m.registry).Inc(1)
 }
 
+// countKey increments a counter of the API keys: an outcome of a decision, or another short constant.
+func (m *nodeMetrics) countKey(kind string) {
+	metrics.GetOrRegisterCounter("keys."+strings.ReplaceAll(kind, " ", "."), m.registry).Inc(1)
+}
+
 // MetricsRegistry returns the registry that Metrics serves.
 func (n *Node) MetricsRegistry() metrics.Registry { return n.metrics.registry }
 
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"github.com/berylwharf/berylwharf/apikey"
 	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 	"github.com/berylwharf/berylwharf/peer"
@@ -77,6 +78,9 @@
 	confirmedUntil        atomic.Int64 // steady time in nanoseconds
 	config                atomic.Pointer[Config]
 	shardPools            atomic.Pointer[map[int][]string] // names of the configured pools by shard
+	shardQueues           atomic.Pointer[shardQueues]
+	knowledge             atomic.Pointer[apikey.Knowledge] // nil until a read reached the end of the operators' records
+	freshReads            *freshReads
 	entries               atomic.Pointer[directoryView]
 	refreshOwners         chan struct{}
 	refreshWorkers        chan struct{}
@@ -87,6 +91,8 @@
 
 	connectedOwners map[int]string // owners to which connections are kept; used by followOwners only
 
+	operatorsMu sync.Mutex // held while a change of the operators is applied
+
 	mu     sync.Mutex
 	shards map[int]*shard
 	// vacant holds the assigned shards that contain no records. They are not claimed until a route leads to them.
@@ -113,6 +119,7 @@
 		advisor:        p.Advisor,
 		relays:         p.Relays,
 		metrics:        newNodeMetrics(),
+		freshReads:     newFreshReads(),
 		member:         memberName(s),
 		processID:      uuid.NewString(),
 		refreshOwners:  make(chan struct{}, 1),
@@ -127,12 +134,14 @@
 	n.entries.Store(&directoryView{})
 	n.strongSeenAt.Store(int64(clock.Now().Steady))
 	n.handlePeers()
+	n.registerConfigAge()
 	return n
 }
 
 // Run serves until the context ends, then hands over the shards and returns.
 func (n *Node) Run(ctx context.Context) {
 	n.wg.Go(n.followOperators)
+	n.wg.Go(n.makeFreshReads)
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followOwners)
 	n.wg.Go(n.maintainMembership)
--- a/jobmanager/operators.go
+++ b/jobmanager/operators.go
@@ -1,6 +1,9 @@
 package jobmanager
 
-import "github.com/berylwharf/berylwharf/fleet"
+import (
+	"github.com/berylwharf/berylwharf/apikey"
+	"github.com/berylwharf/berylwharf/fleet"
+)
 
 // followOperators applies the operators' declarations as they arrive. A version of the configuration never replaces a
 // later one.
@@ -16,9 +19,22 @@
 			n.log.Event(LogEvent{Component: "config", Event: "entry ignored", Reason: problem.Error()})
 		}
 		n.applyWaves(change.Waves)
-		if change.Config != nil {
-			n.applyConfig(change.Config)
-		}
+		n.applyConfiguration(change)
+	}
+}
+
+// applyConfiguration applies the configuration of a change and records how new the node's knowledge is by then. The two loops
+// that read the operators' records call it, so an earlier read may come after a later one; it has no effect then.
+func (n *Node) applyConfiguration(change *OperatorChange) {
+	n.operatorsMu.Lock()
+	defer n.operatorsMu.Unlock()
+	if change.Config != nil {
+		n.applyConfig(change.Config)
+	}
+	// The time is published after the configuration, and View reads it before, so that a configuration is never taken for newer
+	// than it is.
+	if old := n.knowledge.Load(); change.Complete && (old == nil || change.ReadAt > old.ReadAt) {
+		n.knowledge.Store(&apikey.Knowledge{Complete: true, ReadAt: change.ReadAt})
 	}
 }
 
@@ -33,7 +49,9 @@
 
 func (n *Node) applyConfig(c *Config) {
 	if old := n.config.Load(); old != nil && old.Version >= c.Version {
-		n.log.Event(LogEvent{Component: "config", Event: "older version ignored", Epoch: c.Version})
+		if old.Version > c.Version {
+			n.log.Event(LogEvent{Component: "config", Event: "older version ignored", Epoch: c.Version})
+		}
 		return
 	}
 	pools := make(map[int][]string)
@@ -45,7 +63,12 @@
 			pools[number] = append(pools[number], r.Pool)
 		}
 	}
+	for _, u := range c.Keys().Unusable() {
+		n.metrics.countKey("unusable")
+		n.log.Event(LogEvent{Component: "config", Event: "key unusable", Epoch: c.Version, Customer: u.Customer, Reason: string(u.Problem)})
+	}
 	n.shardPools.Store(&pools)
+	n.shardQueues.Store(n.groupQueues(c))
 	n.config.Store(c)
 	n.log.Event(LogEvent{Component: "config", Event: "applied", Epoch: c.Version, Count: len(c.Routes)})
 }
--- a/jobmanager/queuehome.go
+++ b/jobmanager/queuehome.go
@@ -50,10 +50,7 @@
 	if c == nil || c.Version != claim.Version {
 		return false
 	}
-	return !slices.ContainsFunc(c.Routes, func(r Route) bool {
-		ref := c.Ref(&r)
-		return ref.Address == claim.Address && ref.Pool == claim.Pool
-	})
+	return !c.routes(claim.Address, claim.Pool)
 }
 
 // claimHome gives a queue to a pool unless another pool has it under the same or a later version of the configuration, or
--- a/jobmanager/queues.go
+++ b/jobmanager/queues.go
@@ -35,9 +35,12 @@
 	Address string
 	Pool    string
 	Version int64 // of the configuration
+	// Customer is the customer in whose name the queue is called: empty for a call without a key on a public route, nil if
+	// calls are not authenticated.
+	Customer *string
 }
 
-// Ref returns the reference to the queue of a route of the configuration.
+// Ref returns the reference to the queue of a route of the configuration, without a caller.
 func (c *Config) Ref(r *Route) QueueRef {
 	return QueueRef{Name: r.Name, Address: strings.ToLower(r.Host) + r.PathPrefix, Pool: r.Pool, Version: c.Version}
 }
@@ -111,24 +114,34 @@
 	return s.queues[k]
 }
 
-// takeOverQueues takes over the queues that the configuration routes to pools of the shard.
+// takeOverQueues takes over the queues that the configuration routes to pools of the shard. The queues are looked up once for
+// each version: the check is frequent, and the configuration may have thousands of routes to other shards.
 func (s *shard) takeOverQueues(now job.Time) {
 	config := s.node.Config()
 	if config == nil || now.Steady-s.queuesCheckedAt < queueCheckInterval {
 		return
 	}
 	s.queuesCheckedAt = now.Steady
-	for i := range config.Routes {
-		ref := config.Ref(&config.Routes[i])
-		if s.node.shardOf(ref.Pool) != s.number {
-			continue
+	if s.routed.config != config {
+		s.routed.config, s.routed.queues = config, nil
+		for _, ref := range s.node.queuesOf(config, s.number) {
+			s.routed.queues = append(s.routed.queues, s.queue(ref.Pool, ref.Address))
 		}
-		if q := s.queue(ref.Pool, ref.Address); !q.held && !q.record.redirects(ref.Version) {
-			s.claimQueue(q, ref.Version)
+	}
+	for _, q := range s.routed.queues {
+		if !q.held && !q.record.redirects(config.Version) {
+			s.claimQueue(q, config.Version)
 		}
 	}
 }
 
+// routedQueues are the queues that a version of the configuration routes to the pools of a shard. It belongs to the shard's
+// goroutine.
+type routedQueues struct {
+	config *Config
+	queues []*heldQueue
+}
+
 // locate decides where a call for a job that the pool doesn't know is answered. It returns the pool to which the call is
 // redirected, or "" for this one. The error is errNotOwner while the queue is being taken over.
 //
--- a/jobmanager/requests.go
+++ b/jobmanager/requests.go
@@ -36,6 +36,10 @@
 			return
 		}
 		p := s.pool(c.Pool, now)
+		if s.isForeign(p, c) {
+			reply <- outcome{err: errForeignJob}
+			return
+		}
 		if !p.Knows(c.ID) {
 			if pool, err := s.locate(c); pool != "" || err != nil {
 				reply <- outcome{movedTo: pool, err: err}
@@ -96,6 +100,10 @@
 		return
 	}
 	p := s.pool(c.Pool, now)
+	if s.isForeign(p, c) {
+		answer(reply{Code: codeForeign})
+		return
+	}
 	if state, known := p.StateOf(c.ID); known {
 		answer(reply{State: state})
 		return
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -122,6 +122,11 @@
 // maxLease returns the longest lease that a worker grants, on its clock. It shortens a longer one.
 func (l Limits) maxLease() time.Duration { return time.Duration(l.MaxLeaseMs) * time.Millisecond }
 
+// KeyRevocation returns the time after which a removed key is of no use on any node; 0 if there is no such bound.
+func (l Limits) KeyRevocation() time.Duration {
+	return time.Duration(l.KeyRevocationMs) * time.Millisecond
+}
+
 // requestedLease returns the lease that the node requests for its workers.
 func (l Limits) requestedLease() time.Duration { return min(targetLease, l.maxLease()) }
 
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -92,6 +92,7 @@
 	extraRecords                       []extraRecord            // records to store with the next commit
 	queues                             map[queueKey]*heldQueue
 	queuesCheckedAt                    time.Duration
+	routed                             routedQueues
 	homes                              map[string]queueHome // by address of the queue; in fleetShard only
 	customersVersions                  map[string]int64     // by pool; version of the configuration whose customers were applied
 	nonce                              string               // distinguishes the claim of this ownership from other claims
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -35,6 +35,8 @@
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonUnknownService   Reason = "unknown-service"
 	ReasonUnknownCustomer  Reason = "unknown-customer"
+	ReasonKeyUnknown       Reason = "key-unknown"
+	ReasonForeignJob       Reason = "job-of-another-customer"
 	ReasonTooLarge         Reason = "request-too-large"
 	ReasonIdentifierReused Reason = "identifier-reused"
 	ReasonIdentifierFuture Reason = "identifier-in-future"
