--- /dev/null
+++ b/quota/schedule_test.go
@@ -0,0 +1,306 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const (
+	testStep      = 20 * time.Millisecond
+	testFaults    = 40 * time.Second // faults end then
+	testEnd       = 60 * time.Second
+	testCustomers = 3
+	// testMembership is how long a replaced owner goes on.
+	testMembership = 1500 * time.Millisecond
+)
+
+// testRun is a run in a pool. It counts from the order of its start.
+type testRun struct {
+	customer  int
+	size      Amount
+	end       time.Duration
+	owner     int64                   // that ordered it
+	learnedAt map[int64]time.Duration // when a later owner learns it
+}
+
+type testUnit struct {
+	size  Amount
+	since time.Duration
+}
+
+// testOwner is one owner of a pool; a replaced one may go on until its membership ends.
+type testOwner struct {
+	ledger *Ledger
+	epoch  int64
+	from   time.Duration // answers and starts from then
+	until  time.Duration
+	origin time.Duration // of its clock
+}
+
+type testPool struct {
+	owners  []*testOwner
+	runs    []testRun
+	waiting [testCustomers][]testUnit
+	cut     time.Duration // calls are lost until then
+	calm    time.Duration // no further fault until then
+}
+
+type testAllocator struct {
+	*Allocator
+	until, origin, next time.Duration
+	caps                map[string]Amount
+}
+
+// testSystem plays a seeded schedule of faults against the allocators and ledgers.
+type testSystem struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Duration
+	pools  [4]*testPool
+	alloc  []*testAllocator // the last one is the newest
+	caps   map[string]Amount
+	past   map[time.Duration]map[string]Amount // earlier caps, by their end
+	later  map[time.Duration][]func()          // delayed messages
+	starts int
+}
+
+func name(kind string, i int) string { return fmt.Sprintf("%s%d", kind, i) }
+
+func (s *testSystem) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *testSystem) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.rng.Int63n(int64(d)))
+}
+
+func (s *testSystem) used(p *testPool, o *testOwner, customer int) (used Amount, known bool) {
+	known = true
+	for _, r := range p.runs {
+		learned := r.owner == o.epoch || s.now >= max(r.learnedAt[o.epoch], o.from)
+		known = known && (learned || r.owner > o.epoch)
+		if r.customer == customer && learned {
+			used = used.Add(r.size)
+		}
+	}
+	return used, known
+}
+
+// answer is the pool's part of a call.
+func (s *testSystem) answer(p *testPool, o *testOwner, offer Offer) Report {
+	clock := o.origin + s.now
+	o.ledger.Apply(offer, clock)
+	r := o.ledger.Report(!offer.Give, clock)
+	r.Uses = make(map[string]Use)
+	for c := range testCustomers {
+		used, known := s.used(p, o, c)
+		// An owner knows all runs only once the earlier owner can start none.
+		for _, earlier := range p.owners {
+			known = known && (earlier.epoch >= o.epoch || s.now >= earlier.until)
+		}
+		r.Known = known
+		u := Use{Used: used}
+		grant, _ := o.ledger.Grant(name("c", c), clock)
+		for _, w := range p.waiting[c] {
+			u.Waiting = u.Waiting.Add(w.size)
+		}
+		if len(p.waiting[c]) > 0 {
+			first := p.waiting[c][0]
+			u.Unit, u.Wait, u.HeldUp = first.size, s.now-first.since, !first.size.Fits(grant.Sub(used))
+		}
+		r.Uses[name("c", c)] = u
+	}
+	return r
+}
+
+func (s *testSystem) round(a *testAllocator) {
+	faulty := s.now < testFaults
+	clock := a.origin + s.now
+	names := []string{"p0", "p1", "p2", "p3"}
+	for pool, offer := range a.Round(names, a.caps, 1, clock) {
+		p := s.pools[int(pool[1]-'0')]
+		deliver := func(reply bool) {
+			var o *testOwner
+			for _, candidate := range p.owners {
+				if s.now >= candidate.from && s.now < candidate.until && (o == nil || s.chance(0.7)) {
+					o = candidate
+				}
+			}
+			if o == nil {
+				return
+			}
+			if r := s.answer(p, o, offer); reply && s.now < a.until {
+				if a.Report(pool, r, clock, a.origin+s.now) != nil {
+					a.until = s.now
+				}
+			}
+		}
+		switch {
+		case s.now < p.cut || (faulty && s.chance(0.1)):
+			if s.chance(0.5) { // late, and its answer is lost
+				at := (s.now + s.upTo(6*time.Second)).Truncate(testStep)
+				s.later[at] = append(s.later[at], func() { deliver(false) })
+			}
+		default:
+			deliver(!faulty || s.chance(0.9))
+		}
+	}
+}
+
+// faults draws the faults of one step.
+func (s *testSystem) faults() {
+	newest := s.alloc[len(s.alloc)-1]
+	if s.chance(0.001) && newest.until == testEnd {
+		newest.until = s.now + s.upTo(testMembership)
+		s.newAllocator(int64(len(s.alloc)+1), s.now+s.upTo(testMembership))
+	}
+	for _, p := range s.pools {
+		// A pool that is out of reach for longer than the grants last is not counted by a new allocator.
+		if s.now < p.calm {
+			continue
+		}
+		last := p.owners[len(p.owners)-1]
+		switch {
+		case s.chance(0.001):
+			p.cut = min(testFaults, s.now+s.upTo(4*time.Second))
+			p.calm = p.cut + 2*time.Second
+		case s.chance(0.001):
+			last.until = s.now + s.upTo(testMembership)
+			s.newOwner(p, last.epoch+1, s.now+s.upTo(2*time.Second))
+			p.calm = s.now + 4*time.Second
+			for i := range p.runs {
+				p.runs[i].learnedAt[last.epoch+1] = s.now + s.upTo(5*time.Second)
+			}
+		}
+	}
+	if s.chance(0.003) {
+		s.past[s.now] = s.caps
+		s.caps = make(map[string]Amount)
+		for c := range testCustomers {
+			s.caps[name("c", c)] = Limits(Amount{int64(4000 + s.rng.Intn(4)*6000), 0, 0})
+		}
+	}
+}
+
+func (s *testSystem) newOwner(p *testPool, epoch int64, from time.Duration) {
+	p.owners = append(p.owners, &testOwner{ledger: NewLedger(epoch), epoch: epoch, from: from, until: testEnd, origin: s.upTo(time.Hour)})
+}
+
+func (s *testSystem) newAllocator(epoch int64, from time.Duration) {
+	origin := s.upTo(time.Hour)
+	a := New(epoch, testMembership, origin+s.now)
+	s.alloc = append(s.alloc, &testAllocator{Allocator: a, until: testEnd, origin: origin, next: from, caps: s.caps})
+}
+
+// work lets tasks arrive, start and end.
+func (s *testSystem) work() {
+	for _, p := range s.pools {
+		kept := p.runs[:0]
+		for _, r := range p.runs {
+			if s.now < r.end {
+				kept = append(kept, r)
+			}
+		}
+		p.runs = kept
+		for c := range testCustomers {
+			// In the end the customers use a quarter of their caps on average.
+			rate, size := 0.2, Amount{int64(1000 * (1 + s.rng.Intn(4))), 10, 0}
+			if s.now > testFaults {
+				size[CPU] = min(size[CPU], s.caps[name("c", c)][CPU]/4)
+				rate = 0.25 * float64(s.caps[name("c", c)][CPU]) / 2500 / 4 * testStep.Seconds() / 0.6
+			}
+			if s.chance(rate) && len(p.waiting[c]) < 50 {
+				p.waiting[c] = append(p.waiting[c], testUnit{size: size, since: s.now})
+			}
+			for _, o := range p.owners {
+				s.start(p, o, c)
+			}
+			if s.now > testFaults+12*time.Second && len(p.waiting[c]) > 0 && s.now-p.waiting[c][0].since > 3*time.Second {
+				s.t.Fatalf("%v: customer %d waits for more than 3 s in calm operation", s.now, c)
+			}
+		}
+	}
+}
+
+func (s *testSystem) start(p *testPool, o *testOwner, c int) {
+	for len(p.waiting[c]) > 0 && s.now >= o.from && s.now < o.until {
+		size := p.waiting[c][0].size
+		used, _ := s.used(p, o, c)
+		if grant, _ := o.ledger.Grant(name("c", c), o.origin+s.now); !used.Add(size).Fits(grant) {
+			return
+		}
+		p.waiting[c] = p.waiting[c][1:]
+		end := s.now + 200*time.Millisecond + s.upTo(800*time.Millisecond) + s.long()
+		learnedAt := map[int64]time.Duration{o.epoch + 1: s.now + s.upTo(5*time.Second)}
+		p.runs = append(p.runs, testRun{customer: c, size: size, end: end, owner: o.epoch, learnedAt: learnedAt})
+		s.starts++
+		s.checkBound(c)
+	}
+}
+
+func (s *testSystem) long() time.Duration {
+	if s.now < testFaults && s.chance(0.1) {
+		return s.upTo(10 * time.Second)
+	}
+	return 0
+}
+
+// checkBound compares what runs with the greatest cap that may be in force.
+func (s *testSystem) checkBound(c int) {
+	limit := s.caps[name("c", c)]
+	for end, caps := range s.past {
+		if s.now-end < 9*time.Second {
+			limit = limit.Max(caps[name("c", c)])
+		}
+	}
+	var sum Amount
+	for _, p := range s.pools {
+		for _, r := range p.runs {
+			if r.customer == c {
+				sum = sum.Add(r.size)
+			}
+		}
+	}
+	if !sum.Fits(limit) {
+		s.t.Fatalf("%v: customer %d has %v running, the cap is %v", s.now, c, sum, limit)
+	}
+}
+
+// TestSeededSchedules guards against a customer that runs more than its cap in all pools together while allocators and owners
+// are cut off or replaced, and against customers that starve once the faults have ended.
+func TestSeededSchedules(t *testing.T) {
+	for seed := range int64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &testSystem{t: t, rng: rand.New(rand.NewSource(seed)), later: map[time.Duration][]func(){}, past: map[time.Duration]map[string]Amount{}}
+			s.caps = map[string]Amount{"c0": Limits(Amount{16000}), "c1": Limits(Amount{10000}), "c2": Limits(Amount{4000})}
+			for i := range s.pools {
+				s.pools[i] = &testPool{}
+				s.newOwner(s.pools[i], 1, 0)
+			}
+			s.newAllocator(1, 0)
+			s.alloc[0].SkipLearning()
+			for ; s.now < testEnd; s.now += testStep {
+				if s.now < testFaults {
+					s.faults()
+				} else if s.now == testFaults {
+					for _, p := range s.pools {
+						clear(p.waiting[:]) // the callers have given up
+					}
+				}
+				for _, f := range s.later[s.now] {
+					f()
+				}
+				for _, a := range s.alloc {
+					if s.now >= a.next && s.now < a.until {
+						a.next, a.caps = s.now+200*time.Millisecond, s.caps
+						s.round(a)
+					}
+				}
+				s.work()
+			}
+			if s.starts < 150 {
+				t.Errorf("%d starts, which is too few for a test", s.starts)
+			}
+		})
+	}
+}
