job: a pool starts tasks of capped customers within its grant only

Cause: nothing bounded what a customer has running. Ruled out: recounting what runs for each start, and checking each task of a step (the room is counted once for each step); marking held-up work in the scheduling pass, because the report finds it every 200 ms.

Change: a running sum for each customer, updated where runs are attached and released; starts that a later incarnation of a worker may carry out count until their stop is confirmed. Scheduling, the backlog and the load for the fleet controller pass over work without room. A job that can never run within the cap is refused.

--- a/job/explain.go
+++ b/job/explain.go
@@ -46,6 +46,9 @@
 	if t.inherited && now.Steady < p.unreportedLeasesEnd() {
 		return "may run on a worker that does not answer"
 	}
+	if why := p.explainQuota(t); why != "" {
+		return why
+	}
 	usable, labelled, withCapacity, allowed := 0, 0, 0, 0
 	for _, w := range p.workers {
 		if !w.usable(now) {
--- a/job/latestart.go
+++ b/job/latestart.go
@@ -12,7 +12,9 @@
 	at          time.Duration // when the attempt timed out
 	incarnation int64         // of the worker, to which the start was sent
 	stoppedIn   int64         // incarnation that has confirmed a stop; 0 if none has
+	stoppedAt   time.Duration // when the stop was confirmed
 	stopSentAt  time.Duration // of the last stop
+	charge      lateCharge
 }
 
 // recordUnanswered keeps an unanswered start in mind.
@@ -30,9 +32,9 @@
 }
 
 // recordStopped records a confirmed stop. The incarnation that confirmed it rejects the start from now on.
-func (w *worker) recordStopped(o Order) {
+func (w *worker) recordStopped(o Order, now Time) {
 	if s, ok := w.unanswered[o.Task]; ok && s.run <= o.Run {
-		s.stoppedIn = w.incarnation
+		s.stoppedIn, s.stoppedAt = w.incarnation, now.Steady
 		w.unanswered[o.Task] = s
 	}
 }
@@ -57,6 +59,7 @@
 // stopLateStarts orders a worker to stop the starts that were sent to its earlier incarnations and had no answer. It repeats
 // the order until the worker confirms it, and forgets the starts that can no longer be carried out.
 func (p *Pool) stopLateStarts(w *worker, now Time) {
+	defer p.chargeLateStarts(w)
 	for id, s := range w.unanswered {
 		if now.Steady-s.at > lateStartHorizon {
 			delete(w.unanswered, id)
--- a/job/load.go
+++ b/job/load.go
@@ -75,17 +75,23 @@
 func (p *Pool) addPending(l *fleet.Load, machine Resources) {
 	requests := make(map[string]Resources)
 	late := Resources{}
+	p.beginQuotaBudgets(false)
 	for _, j := range p.open {
 		if j.phase != Active {
 			continue
 		}
 		for _, o := range j.occurrences {
-			o.addPending(func(s *Step) {
+			o.addPending(func(t *task, n int) {
+				s := t.step
+				if n = p.quotaClamp(j.spec, s, n); n == 0 {
+					return
+				}
+				need := s.reserved().times(n)
 				// A task that needs a label waits forever unless machines with that label are added.
 				if o.late && s.Label == "" {
-					late = late.Add(s.reserved())
+					late = late.Add(need)
 				} else {
-					requests[s.Label] = requests[s.Label].Add(s.reserved())
+					requests[s.Label] = requests[s.Label].Add(need)
 				}
 			})
 		}
@@ -101,17 +107,25 @@
 	l.WaitingLate = late.Share(machine)
 }
 
-// addPending calls add for each task of an occurrence that could start now.
-func (o *occurrence) addPending(add func(*Step)) {
+// addPending calls add for each step of an occurrence, with the first of its tasks that could start now and their number.
+func (o *occurrence) addPending(add func(first *task, n int)) {
 	for i, tasks := range o.steps {
 		step := tasks[0].step
 		if o.unfinished[i] == 0 || !o.ready(step) {
 			continue
 		}
+		n := 0
+		var first *task
 		for _, t := range tasks {
 			if !t.done && t.run == nil {
-				add(step)
+				n++
+				if first == nil || t.readySince < first.readySince {
+					first = t
+				}
 			}
 		}
+		if n > 0 {
+			add(first, n)
+		}
 	}
 }
--- a/job/order.go
+++ b/job/order.go
@@ -128,6 +128,7 @@
 	}
 	if result == ResultNoAnswer {
 		w.recordUnanswered(o, now)
+		p.recordUnansweredSize(w, o)
 	}
 	r := w.runs[o.Task]
 	if r == nil || r.number != o.Run || r.state != runStarting {
@@ -182,7 +183,7 @@
 	if o.Incarnation != w.incarnation {
 		return
 	}
-	w.recordStopped(o)
+	w.recordStopped(o, now)
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.activeSince == 0 {
 		r.activeSince = now.Steady
 	}
--- a/job/pool.go
+++ b/job/pool.go
@@ -16,6 +16,10 @@
 // Config holds the timeouts and limits of a Pool.
 type Config struct {
 	Pool string
+	// OwnerEpoch is the epoch of the owner of the pool.
+	OwnerEpoch int64
+	// AwaitCaps means that the jobs of customers start only after the first call to SetCaps.
+	AwaitCaps bool
 	// MinRunNumber is the lowest number of the runs that this owner starts. It must be greater than every run number
 	// that an earlier owner used.
 	MinRunNumber int
@@ -62,6 +66,7 @@
 	arrivals         arrivals
 	events           []Event
 	customers        map[string]CustomerLimits // by name
+	quota            quotaState
 }
 
 // runState is what the owner knows about a run.
@@ -151,6 +156,7 @@
 		createdAt:     now,
 		estimates:     newEstimates(),
 		advice:        make(map[StepID]*advice),
+		quota:         newQuotaState(cfg.OwnerEpoch),
 	}
 }
 
@@ -304,6 +310,7 @@
 		p.lastHousekeeping = now.Steady
 		p.housekeeping(now)
 	}
+	p.quota.now = now.Steady
 	p.schedule(now)
 }
 
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		for _, o := range j.occurrences {
-			if !o.hasPending() {
+			if !o.hasPending() || p.quotaPassesOver(j, o) {
 				continue
 			}
 			w := p.rank(j, o, now)
@@ -83,6 +83,7 @@
 // This keeps overload from making every job late: in deadline order alone, each job would start just when it can no
 // longer complete in time.
 func (p *Pool) demoteLate(q []queueEntry, now Time) (spare time.Duration, found bool) {
+	p.beginQuotaBudgets(true)
 	capacity := p.capacity()
 	ahead := p.runningWork(capacity)
 	total := ahead
@@ -115,6 +116,7 @@
 // In a long peak, every late job expires sooner or later. If all of them went first, they would take the whole capacity
 // and make the new jobs late, which would then expire in turn.
 func (p *Pool) demoteExpiring(q []queueEntry, spare time.Duration) bool {
+	p.beginQuotaBudgets(true)
 	capacity := p.capacity()
 	found := false
 	for i := range q {
@@ -158,6 +160,7 @@
 				n++
 			}
 		}
+		n = p.quotaClamp(w.job.spec, &w.job.spec.Steps[i], n)
 		total += p.taskWork(w.job.spec.Queue, &w.job.spec.Steps[i], capacity) * time.Duration(n)
 	}
 	return total
@@ -220,6 +223,10 @@
 		if w.occurrence.unfinished[i] == 0 || !w.occurrence.ready(step) {
 			continue
 		}
+		room := p.quotaRoom(w.job.spec, step)
+		if room == 0 {
+			continue
+		}
 		if w.job.spec.NeedsAdvice {
 			p.requestAdvice(tasks[0], pass, now)
 		}
@@ -231,8 +238,12 @@
 			if t.done || t.run != nil || (t.inherited && deferInherited) {
 				continue
 			}
+			if room == 0 {
+				break
+			}
 			if worker := pass.place(t, now); worker != nil {
 				p.start(t, worker, now)
+				room--
 			} else if w.precedence <= precedenceStarving {
 				pass.reserveWorker(t)
 			}
--- a/job/spec.go
+++ b/job/spec.go
@@ -33,6 +33,10 @@
 	return Resources{CPU: r.CPU - o.CPU, MemMB: r.MemMB - o.MemMB, GPU: r.GPU - o.GPU}
 }
 
+func (r Resources) times(n int) Resources {
+	return Resources{CPU: r.CPU * int64(n), MemMB: r.MemMB * int64(n), GPU: r.GPU * int64(n)}
+}
+
 // Fits reports whether r is at most o in every dimension.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPU <= o.CPU && r.MemMB <= o.MemMB && r.GPU <= o.GPU
--- a/job/submit.go
+++ b/job/submit.go
@@ -26,6 +26,8 @@
 	Refused
 	// Unknown means that there is no such job.
 	Unknown
+	// OverCap means that the job was not accepted and can never run, because it needs more at once than the cap of its customer.
+	OverCap
 )
 
 // Submit adds a job. Submitting a known identifier again does not add a second job. With Refused, the duration is the
@@ -37,6 +39,9 @@
 		}
 		return Pending, 0
 	}
+	if p.refuseOverCap(s) {
+		return OverCap, 0
+	}
 	p.recordArrival(s, now)
 	if wait := p.checkAdmission(s); wait > 0 {
 		p.event(Event{Kind: "job refused", Job: s.ID, Queue: s.Queue, AgeMs: wait.Milliseconds()})
--- a/job/worker.go
+++ b/job/worker.go
@@ -62,6 +62,7 @@
 	fleetHoldUntil  time.Duration
 	leaving         bool
 	evacuating      bool
+	lateCharges     []lateCharge  // what counts for customers although it has no run
 	lastSpeedChange time.Duration // when the speed of a task was last changed
 }
 
@@ -118,6 +119,7 @@
 // dropWorker removes a worker on which nothing can run any more.
 func (p *Pool) dropWorker(w *worker, now Time) {
 	p.loseRuns(w, "worker gone", now)
+	p.dischargeLateStarts(w)
 	delete(p.workers, w.info.ID)
 	p.workersVersion++
 	if w.recordedIncarnation != 0 || w.restored {
@@ -185,6 +187,7 @@
 	w.processedEnd, w.stableEnd = 0, 0
 	w.consecutiveFailures = 0
 	w.leaving = false
+	p.chargeLateStarts(w)
 }
 
 // loseRuns ends all runs on a worker without reports of their ends.
@@ -216,6 +219,7 @@
 func (p *Pool) release(r *run, now Time) {
 	t, w := r.task, r.worker
 	delete(w.runs, t.id)
+	p.dischargeRun(t)
 	w.used = w.used.Sub(t.step.reserved())
 	if t.step.LongRunning {
 		w.usedLongRunning = w.usedLongRunning.Sub(t.step.reserved())
@@ -235,6 +239,7 @@
 	t.inherited = false
 	t.job.started = true
 	w.runs[t.id] = r
+	p.chargeRun(t)
 	w.used = w.used.Add(t.step.reserved())
 	if t.step.LongRunning {
 		w.usedLongRunning = w.usedLongRunning.Add(t.step.reserved())
--- a/quota/schedule_test.go
+++ b/quota/schedule_test.go
@@ -89,9 +89,7 @@
 // answer is the pool's part of a call.
 func (s *testSystem) answer(p *testPool, o *testOwner, offer Offer) Report {
 	clock := o.origin + s.now
-	o.ledger.Apply(offer, clock)
-	r := o.ledger.Report(!offer.Give, clock)
-	r.Uses = make(map[string]Use)
+	r := Report{Uses: make(map[string]Use)}
 	for c := range testCustomers {
 		used, known := s.used(p, o, c)
 		// An owner knows all runs only once the earlier owner can start none.
@@ -110,7 +108,10 @@
 		}
 		r.Uses[name("c", c)] = u
 	}
-	return r
+	o.ledger.Apply(offer, clock)
+	answer := o.ledger.Report(!offer.Give, clock)
+	answer.Known, answer.Uses = r.Known, r.Uses
+	return answer
 }
 
 func (s *testSystem) round(a *testAllocator) {
