jobmanager: allocator of caps on the owner of shard 0

Cause: the pools need grants. Ruled out: sending them with the load request of the fleet controller, because that one does not run without machines and does not ask the pools that only accepted jobs earlier.

Change: a loop that asks the owner of each pool every 200 ms and sends its grants; no call is made without a cap. A job over its cap is answered with 429, not run.

--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -10,6 +10,7 @@
 	"github.com/berylwharf/berylwharf/fleet"
 	"github.com/berylwharf/berylwharf/job"
 	"github.com/berylwharf/berylwharf/peer"
+	"github.com/berylwharf/berylwharf/quota"
 	"github.com/berylwharf/berylwharf/verdict"
 )
 
@@ -23,6 +24,7 @@
 	typeOwnerStopped = "shard.quiet"
 	typeClaimQueue   = "queue.claim"
 	typeMoveQueue    = "queue.move"
+	typeQuota        = "quota.round"
 )
 
 const (
@@ -53,6 +55,8 @@
 	RedirectedBy string `cbor:"8,keyasint,omitempty"`
 	// MoveTo is the pool that takes the queue over from Pool.
 	MoveTo string `cbor:"9,keyasint,omitempty"`
+	// Quota is an offer of the allocator of caps.
+	Quota *quota.Offer `cbor:"12,keyasint,omitempty"`
 }
 
 // queueCall returns a call about a job, or about no job if id is empty.
@@ -81,6 +85,7 @@
 	codeUnknown             // there is no such job
 	codeStoreDown           // nothing was stored, because the store does not answer
 	codeMoved               // the call had no effect; another pool answers it
+	codeOverCap             // the job needs more at once than the cap of its customer; it is not accepted and never runs
 )
 
 // reply is the owner's answer to a call.
@@ -98,6 +103,8 @@
 	Version int64 `cbor:"8,keyasint,omitempty"`
 	// Jobs lists the jobs that a pool knows.
 	Jobs []string `cbor:"9,keyasint,omitempty"`
+	// Quota is the answer to an offer of the allocator of caps.
+	Quota *quota.Report `cbor:"11,keyasint,omitempty"`
 }
 
 // Submit forwards a job to the owner of the pool of its queue. The error is a *verdict.Error.
@@ -114,6 +121,9 @@
 		e.RetryAfter = time.Duration(r.RetryMs) * time.Millisecond
 		return e
 	}
+	if r.Code == codeOverCap {
+		return overCapError()
+	}
 	return nil
 }
 
@@ -157,7 +167,7 @@
 		switch r.Code {
 		case codeOK, codeUnknown:
 			return r, nil
-		case codeRefused:
+		case codeRefused, codeOverCap:
 			if uncertain {
 				return reply{}, uncertainError()
 			}
@@ -244,6 +254,8 @@
 			return reply{Code: codeNotOwner}
 		}
 		return reply{Load: load}
+	case typeQuota:
+		return s.quotaRound(ctx, c)
 	default:
 		return s.waiting(ctx, c)
 	}
@@ -261,6 +273,8 @@
 		return reply{Code: codeUncertain}
 	case o.answer == job.Refused:
 		return reply{Code: codeRefused, RetryMs: o.retry.Milliseconds()}
+	case o.answer == job.OverCap:
+		return reply{Code: codeOverCap}
 	case o.answer == job.Unknown:
 		return reply{Code: codeUnknown}
 	}
@@ -269,7 +283,7 @@
 
 // handlePeers registers the handlers of calls from other nodes.
 func (n *Node) handlePeers() {
-	for _, kind := range []string{typeSubmit, typeCancel, typeState, typeWaiting, typeFleet, typeClaimQueue, typeMoveQueue} {
+	for _, kind := range []string{typeSubmit, typeCancel, typeState, typeWaiting, typeFleet, typeClaimQueue, typeMoveQueue, typeQuota} {
 		n.peers.Handle(kind, func(ctx context.Context, _ string, body peer.Body) (any, error) {
 			return n.handleCall(ctx, kind, body)
 		})
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -187,6 +187,7 @@
 			defer s.recoverPanic()
 			newFleetLoop(s).run()
 		})
+		s.startQuotaLoop()
 	}
 	s.serve()
 }
@@ -341,6 +342,7 @@
 		if s.customersVersions[name] != config.Version {
 			s.customersVersions[name] = config.Version
 			p.SetCustomers(config.customerLimits())
+			p.SetCaps(config.Version)
 		}
 	}
 }
@@ -367,6 +369,8 @@
 	}
 	p := job.New(job.Config{
 		Pool:                  name,
+		OwnerEpoch:            s.epoch,
+		AwaitCaps:             true,
 		MinRunNumber:          1 + int(s.epoch-1)*runsPerEpoch,
 		MaxLease:              lease,
 		InheritedLease:        membershipTTL + lease,
