job: the first held-up unit in scheduling order gets its room first

Cause: the unit that had waited longest held up the customer's other jobs; a customer at its cap always has late jobs that wait longest, so these would have gone before jobs that can be on time for half of the time. Ruled out: no hold at all, because small tasks take each part of the grant that becomes free and gangs starve.

Change: the reported unit, to which the customer's other jobs give way, is the first in scheduling order.

--- a/job/quota.go
+++ b/job/quota.go
@@ -268,42 +268,58 @@
 			out[customer] = quota.Use{Used: sum}
 		}
 	}
-	first := make(map[string]*task)
+	heads := make(map[string]queueHead)
 	for _, j := range p.open {
 		if j.spec.Customer == "" || !j.stored || j.phase != Active {
 			continue
 		}
 		free, limited := p.quotaFree(j.spec.Customer)
 		for _, o := range j.occurrences {
-			o.addPending(func(t *task, n int) { p.addQuotaWaiting(out, first, t, n, limited && !quotaUnit(t.step).Fits(free)) })
+			entry := p.rank(j, o, now)
+			o.addPending(func(t *task, n int) {
+				h := queueHead{entry: entry, task: t, heldUp: limited && !quotaUnit(t.step).Fits(free)}
+				p.addQuotaWaiting(out, heads, h, n)
+			})
 		}
 	}
-	for customer, t := range first {
+	for customer, h := range heads {
 		u := out[customer]
-		u.Wait = now.Steady - t.readySince
+		u.Unit, u.Wait, u.HeldUp = quotaUnit(h.task.step), now.Steady-h.task.readySince, h.heldUp
 		out[customer] = u
-		p.holdUp(customer, t, u, now)
+		p.holdUp(customer, h.task, u, now)
 	}
 	return out
 }
 
-// addQuotaWaiting adds n waiting tasks of a step, of which t is the first, to what is reported. The unit that is reported is
-// the one that has waited longest, those that the grant holds up first.
-func (p *Pool) addQuotaWaiting(out map[string]quota.Use, first map[string]*task, t *task, n int, heldUp bool) {
-	customer := t.job.spec.Customer
-	unit := quotaUnit(t.step)
-	if limit, ok := p.quota.caps[customer]; ok && !unit.Fits(limit) {
+// queueHead is the first unit of a customer that waits: of those that the grant holds up, or else of all, the first in scheduling
+// order. The one that has waited longest would often be of a job that is late in any case.
+type queueHead struct {
+	entry  queueEntry
+	task   *task // the first of the step
+	heldUp bool
+}
+
+// before reports whether a unit is ahead of another one of the same customer.
+func (h queueHead) before(o queueHead) bool {
+	if h.heldUp != o.heldUp {
+		return h.heldUp
+	}
+	c := compareQueueEntries(h.entry, o.entry)
+	return c < 0 || (c == 0 && h.task.id.Step < o.task.id.Step)
+}
+
+// addQuotaWaiting adds n waiting tasks of a step to what is reported.
+func (p *Pool) addQuotaWaiting(out map[string]quota.Use, heads map[string]queueHead, h queueHead, n int) {
+	customer := h.task.job.spec.Customer
+	if limit, ok := p.quota.caps[customer]; ok && !quotaUnit(h.task.step).Fits(limit) {
 		return // it waits for a greater cap
 	}
 	u := out[customer]
-	u.Waiting = u.Waiting.Add(quotaAmount(t.step.Request).Times(n))
-	f := first[customer]
-	earlier := f != nil && (t.readySince < f.readySince || (t.readySince == f.readySince && compareTasks(t.id, f.id) < 0))
-	if f == nil || (heldUp && !u.HeldUp) || (heldUp == u.HeldUp && earlier) {
-		first[customer] = t
-		u.Unit, u.HeldUp = unit, heldUp
-	}
+	u.Waiting = u.Waiting.Add(quotaAmount(h.task.step.Request).Times(n))
 	out[customer] = u
+	if first, ok := heads[customer]; !ok || h.before(first) {
+		heads[customer] = h
+	}
 }
 
 // holdUp logs that the grant keeps a customer's work waiting, and makes the customer's other jobs give way to a unit that has
