quota: offers name only the grants that differ

Cause: at 2,000 customers a full offer has about 60 kB, five times a second for each pool, more than a link of 10 Mbit/s carries. Ruled out: dropping idle customers from offers, because their starts would wait for a round.

Change: after the pool has confirmed the newest offer, the next one names the grants that differ from it, and its number.

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -46,6 +46,9 @@
 	offered map[string]Amount
 	last    map[string]Amount // the newest offer
 	number  int64             // of the newest offer that gives; 0 without one
+	// confirmed means that the pool has confirmed the newest offer, and version is that of its configuration.
+	confirmed bool
+	version   int64
 	// extra is what was counted for earlier owners. It counts until the owner knows all runs.
 	extra map[string]Amount
 }
@@ -132,7 +135,7 @@
 		if s.answered {
 			o.Give = true
 			o.Grants = make(map[string]Amount, len(caps))
-			given = append(given, recipient{pool: s, grants: o.Grants})
+			given = append(given, recipient{name: name, pool: s, grants: o.Grants})
 		}
 		offers[name] = o
 	}
@@ -144,13 +147,19 @@
 		}
 	}
 	for _, r := range given {
-		r.pool.record(a.number, r.grants)
+		if base, changes := r.pool.changes(version, r.grants); base != 0 {
+			o := offers[r.name]
+			o.Base, o.Grants = base, changes
+			offers[r.name] = o
+		}
+		r.pool.record(a.number, version, r.grants)
 	}
 	return offers
 }
 
 // recipient is a pool to which a round gives grants.
 type recipient struct {
+	name   string
 	pool   *poolState
 	grants map[string]Amount
 }
@@ -212,9 +221,24 @@
 	}
 }
 
+// changes returns the grants that differ from the newest offer, and its number; 0 if that one is not confirmed or may name other
+// customers.
+func (s *poolState) changes(version int64, grants map[string]Amount) (base int64, changed map[string]Amount) {
+	if !s.confirmed || s.version != version {
+		return 0, nil
+	}
+	changed = make(map[string]Amount)
+	for customer, grant := range grants {
+		if s.last[customer] != grant {
+			changed[customer] = grant
+		}
+	}
+	return s.number, changed
+}
+
 // record records an offer that is about to be sent, whether or not it arrives.
-func (s *poolState) record(number int64, grants map[string]Amount) {
-	s.number, s.last = number, grants
+func (s *poolState) record(number, version int64, grants map[string]Amount) {
+	s.number, s.version, s.last, s.confirmed = number, version, grants, false
 	if s.offered == nil {
 		s.offered = make(map[string]Amount)
 	}
@@ -238,7 +262,7 @@
 	case r.Owner > s.owner:
 		s.replaceOwner(r)
 	case r.GrantEpoch == a.epoch && r.Number == s.number:
-		s.offered = maps.Clone(s.last)
+		s.offered, s.confirmed = maps.Clone(s.last), true
 	}
 	s.answered, s.owner, s.clock, s.heardAt = true, r.Owner, r.Clock, now
 	s.settled = s.settled || sentAt >= a.settledAt+a.membership
@@ -266,5 +290,5 @@
 	for customer := range s.extra {
 		add(customer)
 	}
-	s.extra, s.offered, s.last, s.number = extra, maps.Clone(r.Granted), nil, 0
+	s.extra, s.offered, s.last, s.number, s.confirmed = extra, maps.Clone(r.Granted), nil, 0, false
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Ledger is the newest offer as the owner of a pool holds it. It is not safe for concurrent use.
 type Ledger struct {
@@ -31,7 +34,16 @@
 		return "a later offer is known"
 	case until <= now:
 		return "the offer has lapsed"
+	case o.Base != 0 && (o.Epoch != l.offer.Epoch || o.Base != l.offer.Number):
+		return "the offer changes one that is not in force"
 	}
+	// Both maps may be in use by other goroutines: that of the allocator, and the last one in a report.
+	grants := make(map[string]Amount, len(l.offer.Grants))
+	if o.Base != 0 {
+		maps.Copy(grants, l.offer.Grants)
+	}
+	maps.Copy(grants, o.Grants)
+	o.Grants = grants
 	l.offer, l.since, l.until = o, now, until
 	return ""
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -142,8 +142,10 @@
 	Hold  time.Duration `cbor:"6,keyasint,omitempty"`
 	// Give is false if the allocator only asks. Earlier grants stay as they are then.
 	Give bool `cbor:"7,keyasint,omitempty"`
-	// Grants holds the grant of each customer with a cap.
+	// Grants holds the grant of each customer with a cap, or only those that differ from the offer with the number Base. That
+	// one must be in force, from the same allocator, and name the same customers. Zero means that Grants is complete.
 	Grants map[string]Amount `cbor:"8,keyasint,omitempty"`
+	Base   int64             `cbor:"9,keyasint,omitempty"`
 }
 
 // Use is what one customer has in a pool.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -25,6 +25,7 @@
 		{offer(2, 3, 7, time.Second), 2 * time.Second, 4},
 		{offer(1, 9, 7, time.Second), 2 * time.Second, 4},
 		{offer(2, 5, 6, time.Second), 2 * time.Second, 4},
+		{Offer{Epoch: 2, Number: 6, Owner: 7, Clock: time.Second, Hold: Hold, Give: true, Base: 3, Grants: map[string]Amount{"c": {9}}}, 2 * time.Second, 4},
 		{offer(3, 1, 7, time.Second), 3 * time.Second, 1},   // a later allocator counts anew
 		{Offer{Epoch: 4, Number: 1}, 3 * time.Second, 1},    // grants continue to hold
 		{offer(3, 2, 7, 2*time.Second), 4 * time.Second, 1}, // but the earlier allocator can give no more
