quota: a pool reports its grants when it refuses an offer

Cause: a new allocator that had heard a replaced owner of a pool sent its first offer for that owner to the next one, and the answer did not tell of the grant that the earlier allocator had given there. Ruled out: naming the grants in every report, for its size.

Change: a report names the grants in force also when the offer was refused.

--- a/job/quota.go
+++ b/job/quota.go
@@ -235,12 +235,13 @@
 	l := p.quota.ledger
 	// Whether the grant holds up work is known for the offer under which the last scheduling pass ran.
 	uses := p.quotaUses(now)
-	if why := l.Apply(o, now.Steady); why != "" && now.Steady-p.quota.refusedAt > quotaEventInterval {
+	why := l.Apply(o, now.Steady)
+	if why != "" && now.Steady-p.quota.refusedAt > quotaEventInterval {
 		p.quota.refusedAt = now.Steady
 		p.event(Event{Kind: "grant refused", Reason: fmt.Sprintf("%s: grant %d.%d, configuration %d", why, o.Epoch, o.Number, o.Version)})
 	}
 	p.updateLimited()
-	r := l.Report(!o.Give, now.Steady)
+	r := l.Report(!o.Give || why != "", now.Steady)
 	r.Known = p.knowsAllRuns(now)
 	r.Uses = uses
 	return r
--- a/job/quota_test.go
+++ b/job/quota_test.go
@@ -66,6 +66,10 @@
 	if l := p.Load(p.now); l.Waiting != 0.25 {
 		t.Errorf("waiting for %v machines, want the core that the grant leaves", l.Waiting)
 	}
+	// A later allocator whose offer is meant for an earlier owner must learn what this owner was granted.
+	if r := p.QuotaRound(quota.Offer{Epoch: 2, Owner: 9, Give: true}, p.now); r.Granted["c"][quota.CPU] != 3000 {
+		t.Errorf("reported the grants %v, want those of the earlier allocator", r.Granted)
+	}
 	p.advance(quota.Hold)
 	p.reportAll("v", "w")
 	if n := p.startedJobs(); n["a"] != 0 {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -66,13 +66,14 @@
 	return l.offer.Epoch, l.offer.Number, now - l.since
 }
 
-// Report returns the report of the pool without Known and Uses. Asked means that it answers an offer that only asks.
-func (l *Ledger) Report(asked bool, now time.Duration) Report {
+// Report returns the report of the pool without Known and Uses. With full, it names the grants in force: when the pool answers an
+// offer that only asks, or that it refused.
+func (l *Ledger) Report(full bool, now time.Duration) Report {
 	r := Report{Epoch: l.seen, Owner: l.owner, Clock: now}
 	if l.offer.Give {
 		r.GrantEpoch, r.Number, r.Left = l.offer.Epoch, l.offer.Number, max(0, l.until-now)
 	}
-	if asked && r.Left > 0 {
+	if full && r.Left > 0 {
 		r.Granted = l.offer.Grants
 	}
 	return r
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -164,7 +164,7 @@
 	// Epoch is the greatest epoch of an allocator that the pool has seen.
 	Epoch int64 `cbor:"1,keyasint"`
 	// GrantEpoch and Number identify the offer in force, and Left is how long it holds. Granted holds its grants
-	// in the answer to an offer that only asks.
+	// in the answer to an offer that only asks or that was refused.
 	GrantEpoch int64             `cbor:"2,keyasint,omitempty"`
 	Number     int64             `cbor:"3,keyasint,omitempty"`
 	Left       time.Duration     `cbor:"4,keyasint,omitempty"`
