job: no count of waiting work for customers without a cap

Ruled out: keeping it for customers whose cap only the allocator knows yet; its next offer makes the pool count them.

Change: work of customers without a cap is left out of the report.

--- a/job/quota.go
+++ b/job/quota.go
@@ -285,7 +285,7 @@
 	return true
 }
 
-// quotaUses returns what each customer has running and waiting.
+// quotaUses returns what each customer has running and, if it has a cap, waiting.
 func (p *Pool) quotaUses(now Time) map[string]quota.Use {
 	out := make(map[string]quota.Use)
 	for customer, u := range p.quota.uses {
@@ -299,10 +299,13 @@
 			continue
 		}
 		free, limited := p.quotaFree(j.spec.Customer)
+		if !limited {
+			continue // nobody needs to know what waits
+		}
 		for _, o := range j.occurrences {
 			entry := p.rank(j, o, now)
 			o.addPending(func(t *task, n int) {
-				h := queueHead{entry: entry, task: t, heldUp: limited && !quotaUnit(t.step).Fits(free)}
+				h := queueHead{entry: entry, task: t, heldUp: !quotaUnit(t.step).Fits(free)}
 				p.addQuotaWaiting(out, heads, h, n)
 			})
 		}
