--- a/job/pool.go
+++ b/job/pool.go
@@ -18,6 +18,10 @@
 // Config holds the timeouts and limits of a Pool.
 type Config struct {
 	Pool string
+	// OwnerEpoch is the epoch of the owner of the pool.
+	OwnerEpoch int64
+	// AwaitCaps means that the jobs of customers start only after the first call to SetCaps.
+	AwaitCaps bool
 	// MinRunNumber is the lowest number of the runs that this owner starts. It must be greater than every run number
 	// that an earlier owner used.
 	MinRunNumber int
@@ -67,6 +71,7 @@
 	events           []Event
 	customers        map[string]CustomerLimits // by name
 	interference     interferenceState
+	quota            quotaState
 }
 
 // runState is what the owner knows about a run.
@@ -160,6 +165,7 @@
 		estimates:     newEstimates(),
 		advice:        make(map[StepID]*advice),
 		interference:  interferenceState{estimator: interference.NewEstimator()},
+		quota:         newQuotaState(cfg.OwnerEpoch),
 	}
 }
 
@@ -314,6 +320,7 @@
 		p.lastHousekeeping = now.Steady
 		p.housekeeping(now)
 	}
+	p.quota.now = now.Steady
 	p.schedule(now)
 }
 
--- a/job/worker.go
+++ b/job/worker.go
@@ -62,7 +62,8 @@
 	fleetHoldUntil  time.Duration
 	leaving         bool
 	evacuating      bool
-	lastSpeedChange time.Duration // when the speed of a task was last changed, except by setLearnedSpeed
+	lateCharges     []lateCharge  // what counts for customers although it has no run
+	lastSpeedChange time.Duration // when the speed of a task was last changed, except by raiseLearned
 	coLocation      coLocation
 }
 
@@ -119,6 +120,7 @@
 // dropWorker removes a worker on which nothing can run any more.
 func (p *Pool) dropWorker(w *worker, now Time) {
 	p.loseRuns(w, "worker gone", now)
+	p.dischargeLateStarts(w)
 	delete(p.workers, w.info.ID)
 	p.workersVersion++
 	if w.recordedIncarnation != 0 || w.restored {
@@ -186,6 +188,7 @@
 	w.processedEnd, w.stableEnd = 0, 0
 	w.consecutiveFailures = 0
 	w.leaving = false
+	p.chargeLateStarts(w)
 }
 
 // loseRuns ends all runs on a worker without reports of their ends.
@@ -217,6 +220,7 @@
 func (p *Pool) release(r *run, now Time) {
 	t, w := r.task, r.worker
 	delete(w.runs, t.id)
+	p.dischargeRun(t)
 	w.used = w.used.Sub(t.step.reserved())
 	if t.step.LongRunning {
 		w.usedLongRunning = w.usedLongRunning.Sub(t.step.reserved())
@@ -237,6 +241,7 @@
 	t.inherited = false
 	t.job.started = true
 	w.runs[t.id] = r
+	p.chargeRun(t)
 	w.used = w.used.Add(t.step.reserved())
 	if t.step.LongRunning {
 		w.usedLongRunning = w.usedLongRunning.Add(t.step.reserved())
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -188,6 +188,7 @@
 			defer s.recoverPanic()
 			newFleetLoop(s).run()
 		})
+		s.startQuotaLoop()
 	}
 	s.serve()
 }
@@ -345,6 +346,7 @@
 		if s.customersVersions[name] != config.Version {
 			s.customersVersions[name] = config.Version
 			p.SetCustomers(config.customerLimits())
+			p.SetCaps(config.Version)
 		}
 	}
 }
@@ -371,6 +373,8 @@
 	}
 	p := job.New(job.Config{
 		Pool:                  name,
+		OwnerEpoch:            s.epoch,
+		AwaitCaps:             true,
 		MinRunNumber:          1 + int(s.epoch-1)*runsPerEpoch,
 		MaxLease:              lease,
 		InheritedLease:        membershipTTL + lease,
