settings, jobmanager: limits of memory, descriptors and connections

Cause: the entry daemon knows no memory or descriptor limit of its machine, and neither kind of node has a setting that overrides what is derived from these for the connections of clients. The keys are not used yet; they come first so that the tests of crowds run with the same settings before and after the change.

--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -35,6 +35,8 @@
 	// MemoryMB and MaxFDs are the limits of memory and of open descriptors of the process. Zero means unknown.
 	MemoryMB int64 `json:"memoryMB"`
 	MaxFDs   int64 `json:"maxFDs"`
+	// Connections overrides what is derived from MemoryMB and MaxFDs for the connections of clients.
+	Connections ConnectionLimits `json:"connections"`
 	// Shards is the number of partitions of the store's topics.
 	Shards int    `json:"shards"`
 	Limits Limits `json:"bounds"`
@@ -55,6 +57,27 @@
 	KeyRevocationMs int64 `json:"keyRevocationMs"`
 }
 
+// ConnectionLimits holds limits for the connections that clients open. Zero means derived.
+type ConnectionLimits struct {
+	MemoryMB int64 `json:"memoryMB"` // memory that all connections together may hold, at least 8
+	Max      int64 `json:"max"`      // number of accepted connections, at least 16
+}
+
+// check returns an error if the limits do not fit those of the process.
+func (l ConnectionLimits) check(memoryMB, maxFDs int64) error {
+	switch {
+	case l.MemoryMB != 0 && l.MemoryMB < 8:
+		return errors.Errorf("connections.memoryMB: must be 0 or at least 8, not %d", l.MemoryMB)
+	case memoryMB > 0 && l.MemoryMB > memoryMB/2:
+		return errors.Errorf("connections.memoryMB: must be at most half of memoryMB, %d, not %d", memoryMB/2, l.MemoryMB)
+	case l.Max != 0 && l.Max < 16:
+		return errors.Errorf("connections.max: must be 0 or at least 16, not %d", l.Max)
+	case maxFDs > 0 && l.Max >= maxFDs:
+		return errors.Errorf("connections.max: must be less than maxFDs, %d, not %d", maxFDs, l.Max)
+	}
+	return nil
+}
+
 // LoadSettings reads and validates a settings file.
 func LoadSettings(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
@@ -106,7 +129,7 @@
 	case s.Limits.GraceS <= 0 || s.Limits.StatusS <= 0:
 		return errors.New("bounds.graceS and bounds.statusS: must be positive")
 	}
-	return nil
+	return s.Connections.check(s.MemoryMB, s.MaxFDs)
 }
 
 // strongCPU is the CPU capacity, in usual cores, from which a node always owns shards. Under a flood of requests an
--- a/jobmanager/settings_test.go
+++ b/jobmanager/settings_test.go
@@ -27,6 +27,10 @@
 		{`"maxLeaseMs": 6000`, `"maxLeaseMs": 1`, "maxLeaseMs"},
 		{`"graceS": 6`, `"graceS": 0`, "graceS"},
 		{`"shards": 32`, `"shards": "many"`, "shards"},
+		{`"shards": 32`, `"shards": 32, "connections": {"memoryMB": 7}`, "connections.memoryMB"},
+		{`"shards": 32`, `"shards": 32, "memoryMB": 184, "connections": {"memoryMB": 93}`, "connections.memoryMB"},
+		{`"shards": 32`, `"shards": 32, "connections": {"max": -1}`, "connections.max"},
+		{`"shards": 32`, `"shards": 32, "maxFDs": 4100, "connections": {"max": 4100}`, "connections.max"},
 		{`{ //`, `[ //`, "JSON"},
 	} {
 		_, err := ParseSettings([]byte(strings.Replace(goodSettings, c.old, c.new, 1)))
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -43,6 +43,14 @@
 
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
+
+	// minMemoryMB leaves room for the process itself, which uses about 19 MB in calm operation. minMaxFDs leaves room for
+	// files and for calls to other processes.
+	minMemoryMB       = 32
+	minMaxFDs         = 256
+	minClientMemoryMB = 8
+	minConnections    = 16
+	maxLimit          = 1 << 20
 )
 
 // fields lists all keys, in the order in which the documentation describes them.
@@ -66,6 +74,10 @@
 	durationField("platform.logRetention", time.Second, 8760*time.Hour, func(s *Settings) *time.Duration { return &s.Platform.LogRetention }),
 	textField("log.level", false, permittedLevel, oneOf(permittedLevel), func(s *Settings) *string { return &s.Log.Level }),
 	textField("log.format", false, permittedFormats, oneOf(permittedFormats), func(s *Settings) *string { return &s.Log.Format }),
+	limitField("limits.memoryMB", minMemoryMB, func(s *Settings) *int { return &s.Limits.MemoryMB }),
+	limitField("limits.maxFDs", minMaxFDs, func(s *Settings) *int { return &s.Limits.MaxFDs }),
+	limitField("limits.clientMemoryMB", minClientMemoryMB, func(s *Settings) *int { return &s.Limits.ClientMemoryMB }),
+	limitField("limits.maxConnections", minConnections, func(s *Settings) *int { return &s.Limits.MaxConnections }),
 	durationField("shutdownTimeout", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.ShutdownTimeout }),
 }
 
@@ -261,6 +273,23 @@
 	}}
 }
 
+// limitField returns the field of a number that is 0 or at least low.
+func limitField(key string, low int, dest func(*Settings) *int) field {
+	f := intField(key, 0, maxLimit, dest)
+	f.permitted = fmt.Sprintf("0, or %d to %d", low, maxLimit)
+	setInt := f.set
+	f.set = func(s *Settings, v hujson.Value) string {
+		if problem := setInt(s, v); problem != "" {
+			return problem
+		}
+		if n := *dest(s); n != 0 && n < low {
+			return strconv.Itoa(n) + " is out of range"
+		}
+		return ""
+	}
+	return f
+}
+
 func durationField(key string, low, high time.Duration, dest func(*Settings) *time.Duration) field {
 	permitted := fmt.Sprintf("%s to %s, with the unit ms, s, m or h", formatDuration(low), formatDuration(high))
 	return field{key: key, permitted: permitted, set: func(s *Settings, v hujson.Value) string {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -189,6 +189,7 @@
 	if s.VM == "" {
 		s.VM = s.Node
 	}
+	p.checkLimits()
 	seen := make(map[string]string)
 	for _, l := range []struct{ key, addr string }{
 		{"callers.listen", s.Callers.Listen.String()},
@@ -207,6 +208,21 @@
 	}
 }
 
+// checkLimits checks the limits that depend on each other.
+func (p *parser) checkLimits() {
+	l := p.settings.Limits
+	if l.MemoryMB > 0 && l.ClientMemoryMB > l.MemoryMB/2 {
+		const key = "limits.clientMemoryMB"
+		p.addError(p.lines[key], key, strconv.Itoa(l.ClientMemoryMB)+" is more than half of limits.memoryMB",
+			fmt.Sprintf("at most %d", l.MemoryMB/2))
+	}
+	if l.MaxFDs > 0 && l.MaxConnections >= l.MaxFDs {
+		const key = "limits.maxConnections"
+		p.addError(p.lines[key], key, strconv.Itoa(l.MaxConnections)+" is not less than limits.maxFDs",
+			fmt.Sprintf("at most %d", l.MaxFDs-1))
+	}
+}
+
 // unsetAddr is the string form of the zero netip.AddrPort.
 const unsetAddr = "invalid AddrPort"
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,7 @@
 	Admin     Admin
 	Platform  Platform
 	Log       Log
+	Limits    Limits
 
 	// ShutdownTimeout limits how long a graceful shutdown waits for requests in flight: 100ms to 1h, default 30s.
 	ShutdownTimeout time.Duration
@@ -99,6 +100,20 @@
 	Format string
 }
 
+// Limits are the limits of the process. Zero means unknown or derived.
+type Limits struct {
+	// MemoryMB is the memory of the machine in megabytes: 0 (unknown, default) or 32 to 1048576.
+	MemoryMB int
+	// MaxFDs is the number of descriptors that the process may have open: 0 (unknown, default) or 256 to 1048576.
+	MaxFDs int
+	// ClientMemoryMB is the memory that connections of clients may hold: 0 (derived from MemoryMB, default) or 8 to
+	// 1048576, and at most half of MemoryMB if that is set.
+	ClientMemoryMB int
+	// MaxConnections is the number of accepted connections: 0 (derived from MaxFDs, default) or 16 to 1048576, and less
+	// than MaxFDs if that is set.
+	MaxConnections int
+}
+
 // Secret is a string that is replaced by a placeholder whenever it is formatted or encoded, so that it cannot leak into a
 // log.
 type Secret string
