--- /dev/null
+++ b/connlimit/system_test.go
@@ -0,0 +1,276 @@
+package connlimit_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/berylwharf/berylwharf/jobmanager"
+	"github.com/berylwharf/berylwharf/operator"
+	"github.com/berylwharf/berylwharf/platform/standin"
+	"github.com/berylwharf/berylwharf/resource"
+	"github.com/berylwharf/berylwharf/standin/backend"
+	platformstandin "github.com/berylwharf/berylwharf/standin/platform"
+	"github.com/berylwharf/berylwharf/vmapi"
+)
+
+const (
+	// memoryMB and maxFDs are the limits in the settings of the processes, and the bounds that the tests check.
+	memoryMB = 96
+	maxFDs   = 600
+	// waitTimeout limits each wait for a condition. No check depends on its value.
+	waitTimeout = 60 * time.Second
+)
+
+// process is one of the system's own processes under test.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	log     string
+	ports   map[string]string // listen address by the name of the listener
+	request func() bool       // sends an ordinary request and reports whether it was served
+	submit  string            // start of the head of a request with a body to the callers' port
+	peakFDs atomic.Int64
+}
+
+// addrs returns n free addresses of a loopback IP of its own, so that no outgoing connection takes one of them.
+func addrs(t *testing.T, n int) []string {
+	t.Helper()
+	ip := fmt.Sprintf("127.78.1.%d", 1+ipCount.Add(1))
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+var ipCount atomic.Int32
+
+// start runs the program with a settings file and waits until the process serves an ordinary request.
+func (p *process) start(binary string, settings any, args ...string) {
+	p.t.Helper()
+	dir := p.t.TempDir()
+	data, err := json.Marshal(settings)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	file := filepath.Join(dir, "settings.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	p.log = filepath.Join(dir, "log")
+	out, err := os.Create(p.log)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer out.Close()
+	p.cmd, p.exited = exec.Command(binary, append(args, file)...), make(chan struct{})
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	p.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.exited
+		if data, err := os.ReadFile(p.log); err == nil && p.t.Failed() {
+			p.t.Logf("end of the log:\n%s", data[max(0, len(data)-2000):])
+		}
+	})
+	go p.watchFDs()
+}
+
+// watchFDs records the greatest number of open descriptors until the process exits.
+func (p *process) watchFDs() {
+	for {
+		select {
+		case <-p.exited:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
+			p.peakFDs.Store(max(p.peakFDs.Load(), int64(len(entries))))
+		}
+	}
+}
+
+// statusMB returns a field of /proc/PID/status in megabytes.
+func (p *process) statusMB(field string) int {
+	f, err := os.Open(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if rest, ok := strings.CutPrefix(lines.Text(), field+":"); ok {
+			kb, err := strconv.Atoi(strings.Fields(rest)[0])
+			if err != nil {
+				p.t.Fatal(err)
+			}
+			return kb >> 10
+		}
+	}
+	p.t.Fatalf("/proc/PID/status has no field %s", field)
+	return 0
+}
+
+// waitFor waits until the condition holds or the process has exited.
+func (p *process) waitFor(what string, f func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-p.exited:
+			p.t.Fatalf("the process ended while waiting for the condition %q", what)
+		default:
+		}
+		if f() {
+			return
+		}
+	}
+	p.t.Fatalf("timed out waiting for the condition %q", what)
+}
+
+// answers reports whether a request on a connection of its own gets the status.
+func answers(method, url, host string, header map[string]string, body string, want int) bool {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Host, req.Close = host, true
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	client := http.Client{Timeout: 10 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == want
+}
+
+// startJobs starts a node of the job manager beside stand-ins of the store, the workers and the machines.
+func startJobs(t *testing.T, binary string) *process {
+	t.Helper()
+	store := standin.NewStore(4)
+	var workers []*standin.Worker
+	for i := range 2 {
+		w := standin.NewWorker(fmt.Sprintf("w%d", i), "pool", fmt.Sprintf("m%d", i))
+		t.Cleanup(w.Server.CloseClientConnections)
+		workers = append(workers, w)
+		store.Put("keyed.servers", w.ID, w.Entry())
+	}
+	config := strings.Replace(string(standin.Config(1, "pool")), `"maxBodyBytes":100000`, `"maxBodyBytes":262144`, 1)
+	store.Put("keyed.op", "config", []byte(config))
+	storeHTTP, machines := httptest.NewServer(store), httptest.NewServer(standin.NewMachines(workers))
+	t.Cleanup(storeHTTP.CloseClientConnections)
+	t.Cleanup(machines.CloseClientConnections)
+	a := addrs(t, 4)
+	p := &process{
+		t: t, ports: map[string]string{"callers": a[0], "readiness": a[1], "admin": a[2], "peers": a[3]},
+		submit: "POST /q/%016x HTTP/1.1\r\nHost: h\r\n",
+	}
+	jobs := 0
+	p.request = func() bool {
+		jobs++
+		url := fmt.Sprintf("http://%s/q/%016x", a[0], 1<<40+jobs)
+		return answers(http.MethodPost, url, "h", nil, `{"spec":"x","steps":[{"count":1,"cpu":100,"estimateMs":10}]}`, http.StatusOK)
+	}
+	p.start(binary, jobmanager.Settings{
+		Node: "n0", Zone: "z", Callers: a[0], Readiness: a[1], Admin: a[2], Peers: a[3], PeerKey: "a key of the tests",
+		Store: storeHTTP.Listener.Addr().String(), Machines: machines.Listener.Addr().String(), Shards: 4,
+		MemoryMB: memoryMB, MaxFDs: maxFDs,
+		Limits: jobmanager.Limits{MaxLeaseMs: 6000, GraceS: 2, StatusS: 120, CrossRackFactor: 2, OrderLeaseMs: 1000, CallBytes: 1 << 20},
+	}, "jobs", "--settings")
+	p.waitFor("ready", p.request)
+	return p
+}
+
+// startEntry starts an entry daemon beside stand-ins of the platform and of a backend server.
+func startEntry(t *testing.T, binary string) *process {
+	t.Helper()
+	server, err := platformstandin.New(platformstandin.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := backend.Start("127.0.0.1:0", backend.Config{Name: "w0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := httptest.NewServer(server)
+	t.Cleanup(func() { server.Close(); front.CloseClientConnections(); _ = b.Close() })
+	a := addrs(t, 4)
+	if err := server.SetVMs([]vmapi.VM{
+		{Name: "w0", Zone: "z", Rack: "r", Role: vmapi.RoleWorker, Addr: b.Addr(), State: vmapi.StateLive},
+		{Name: "n0", Zone: "z", Rack: "r", Role: vmapi.RoleEntry, Addr: a[3], State: vmapi.StateLive, Node: "n0"},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{
+		t: t, ports: map[string]string{"callers": a[0], "operators": a[1], "admin": a[2], "peers": a[3]},
+		submit: "POST /svc/booking/x?%d HTTP/1.1\r\nHost: h\r\nBerylwharf-Customer: c\r\n",
+	}
+	p.request = func() bool {
+		return answers(http.MethodGet, "http://"+a[0]+"/svc/booking/x", "", map[string]string{"Berylwharf-Customer": "c"}, "", http.StatusOK)
+	}
+	p.start(binary, map[string]any{
+		"node": "n0", "zone": "z", "region": "r1", "callers": map[string]any{"listen": a[0]},
+		"operators": map[string]any{"listen": a[1]}, "admin": map[string]any{"listen": a[2]},
+		"peers": map[string]any{"listen": a[3], "key": "0123456789abcdef"}, "platform": map[string]any{"url": front.URL},
+		"limits": map[string]any{"memoryMB": memoryMB, "maxFDs": maxFDs},
+	})
+	p.waitFor("ready", func() bool { return answers(http.MethodGet, "http://"+a[2]+"/readyz", "", nil, "", http.StatusOK) })
+	client, err := operator.NewClient(operator.ClientConfig{URL: "http://" + a[1]})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	for _, r := range []struct {
+		kind resource.Kind
+		name string
+		spec any
+	}{
+		{resource.KindPool, "p", resource.Pool{}}, {resource.KindCustomer, "c", resource.Customer{Share: 1}},
+		{resource.KindService, "booking", resource.Service{
+			Pool: "p", AnswerCheck: resource.AnswerCheckEcho, MaxRunMs: 1000, DefaultDeadlineMs: 10000, MaxBodyBytes: 262144,
+		}},
+		{resource.KindVM, "w0", resource.VM{Pool: "p"}},
+	} {
+		spec, err := json.Marshal(r.spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var base uint64
+		put := &operator.PutRequest{BaseVersion: &base, Author: "test", Spec: spec}
+		if _, err := client.Put(ctx, resource.Key{Kind: r.kind, Name: r.name}, put); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.waitFor("serves", p.request)
+	return p
+}
