connlimit, jobdaemon, daemon: clients draw on one budget

Cause: net/http bounds one head by 1 MB and neither the sum of heads, bodies in flight, connections nor the time of a body, so 30 clients exceeded 184 MB. Ruled out: only lower limits of the server (1,500 heads of 20 KB in short lines hold about 1 GB), a limit in the handler (the map of the head exists by then), the soft memory limit alone (it frees nothing that is reachable).

Change: package connlimit wraps listeners, connections and handlers. Heads are charged by bytes and lines before the server parses them, bodies as they are read, connections when accepted. When the budget is exhausted the slowest and largest incomplete request is closed; readers wait up to 1 s, then the request is refused with 503, not-run. All eight listeners use it; peer and coord get a hook for their server. entry reads a body as it arrives instead of allocating the announced length.

--- /dev/null
+++ b/connlimit/account.go
@@ -0,0 +1,284 @@
+package connlimit
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// connCost is charged for each connection, in bytes: the read and the write buffer of net/http (4 KB each), two goroutine
+	// stacks, and the structures of a connection and its request.
+	connCost = 20 << 10
+	// streamsCost is charged in addition for a connection that uses HTTP/2: receive buffers, header table, one header block.
+	streamsCost = 128 << 10
+	// maxWait limits how long a reader waits for memory before its request is refused.
+	maxWait = time.Second
+	// roomDivisor is the part of the memory that is freed at once when it is exhausted. Freeing only what one reader
+	// needs would choose among all connections for every reader.
+	roomDivisor = 8
+	// batchDivisor is the part of the connections that is closed at once when there are too many.
+	batchDivisor = 16
+	// idleDivisor lessens the weight of a connection that is idle after a complete request: its client has shown that it
+	// sends whole requests.
+	idleDivisor = 4
+)
+
+// Errors of readers.
+var (
+	// ErrRefused is returned to a reader for which there is no memory. The request that it reads has not run.
+	ErrRefused = errors.New("no memory for the request")
+	errClosed  = errors.New("closed to free memory or descriptors")
+)
+
+// Account is the budget of one process for its clients. Its methods may be called by several goroutines.
+type Account struct {
+	limit    int64 // bytes
+	maxConns int
+	soft     int64 // soft limit of the runtime's memory in bytes, 0 for none
+	started  time.Time
+	notes    notes
+
+	used    atomic.Int64 // bytes charged
+	waiters atomic.Int64 // length of queue
+
+	queueMu sync.Mutex
+	queue   []*waiter
+
+	mu       sync.Mutex
+	conns    map[*Conn]struct{}
+	closing  int   // connections closed by the account whose server has not ended yet
+	expected int64 // bytes that these will return
+}
+
+// waiter is a reader that waits for memory.
+type waiter struct {
+	need    int64
+	granted chan struct{}
+}
+
+// NewAccount returns the account of a process with the limits. Refusals are reported to report, which must not block.
+func NewAccount(limits Limits, report func(Refusal)) *Account {
+	a := &Account{started: time.Now(), conns: make(map[*Conn]struct{})}
+	a.limit, a.maxConns, a.soft = limits.budget()
+	a.notes.init(report)
+	return a
+}
+
+// now returns the time since the account was created, in nanoseconds.
+func (a *Account) now() int64 { return int64(time.Since(a.started)) }
+
+// take charges n bytes if they fit.
+func (a *Account) take(n int64) bool {
+	for {
+		used := a.used.Load()
+		if used+n > a.limit {
+			return false
+		}
+		if a.used.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
+}
+
+// charge charges n bytes for a connection. If they do not fit, it closes other connections and waits for the memory. It
+// returns ErrRefused if there is none in time, and errClosed if the connection itself is closed to free memory.
+func (a *Account) charge(c *Conn, n int64) error {
+	if !a.take(n) {
+		if err := a.wait(c, n); err != nil {
+			return err
+		}
+	}
+	c.charged.Add(n)
+	return nil
+}
+
+// giveBack returns n bytes.
+func (a *Account) giveBack(n int64) {
+	if n == 0 {
+		return
+	}
+	a.used.Add(-n)
+	if a.waiters.Load() > 0 {
+		a.serveQueue()
+	}
+}
+
+// wait frees memory and waits until n bytes are charged.
+func (a *Account) wait(c *Conn, n int64) error {
+	if c.closed.Load() {
+		return errClosed
+	}
+	if n > a.limit {
+		return ErrRefused
+	}
+	w := &waiter{need: n, granted: make(chan struct{})}
+	a.queueMu.Lock()
+	a.queue = append(a.queue, w)
+	a.waiters.Add(1)
+	a.queueMu.Unlock()
+	if a.freeMemory(c, n) {
+		a.leaveQueue(w)
+		return errClosed
+	}
+	a.serveQueue()
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case <-w.granted:
+		return nil
+	case <-timer.C:
+	}
+	if a.dequeue(w) {
+		return ErrRefused
+	}
+	return nil
+}
+
+// leaveQueue ends the wait of a reader that needs no memory any more.
+func (a *Account) leaveQueue(w *waiter) {
+	if !a.dequeue(w) {
+		a.giveBack(w.need)
+	}
+}
+
+// dequeue removes a waiter. It returns false if the waiter's memory has been charged.
+func (a *Account) dequeue(w *waiter) bool {
+	a.queueMu.Lock()
+	defer a.queueMu.Unlock()
+	i := slices.Index(a.queue, w)
+	if i < 0 {
+		return false
+	}
+	a.queue = slices.Delete(a.queue, i, i+1)
+	a.waiters.Add(-1)
+	return true
+}
+
+// serveQueue charges the memory of the readers that wait, in the order of their arrival, as far as it fits.
+func (a *Account) serveQueue() {
+	a.queueMu.Lock()
+	defer a.queueMu.Unlock()
+	for len(a.queue) > 0 && a.take(a.queue[0].need) {
+		close(a.queue[0].granted)
+		a.queue = slices.Delete(a.queue, 0, 1)
+		a.waiters.Add(-1)
+	}
+}
+
+// freeMemory closes connections so that n bytes will fit. It returns true if self is one of them.
+func (a *Account) freeMemory(self *Conn, n int64) (closedSelf bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.used.Load()-a.expected+n <= a.limit {
+		return false
+	}
+	for _, c := range a.candidates() {
+		if a.used.Load()-a.expected+n <= a.limit-a.limit/roomDivisor {
+			break
+		}
+		a.close(c, ClosedForMemory)
+		closedSelf = closedSelf || c == self
+	}
+	return closedSelf
+}
+
+// candidates returns the connections whose request is not complete, the slowest and largest first. The caller holds mu.
+func (a *Account) candidates() []*Conn {
+	type candidate struct {
+		c      *Conn
+		weight float64
+	}
+	now := a.now()
+	list := make([]candidate, 0, len(a.conns))
+	for c := range a.conns {
+		if c.closed.Load() || !c.incomplete() {
+			continue
+		}
+		weight := float64(c.charged.Load()) * float64(now-c.since.Load())
+		if c.phase.Load() == phaseIdle {
+			weight /= idleDivisor
+		}
+		list = append(list, candidate{c, weight})
+	}
+	slices.SortFunc(list, func(x, y candidate) int {
+		switch {
+		case x.weight > y.weight:
+			return -1
+		case x.weight < y.weight:
+			return 1
+		}
+		return 0
+	})
+	out := make([]*Conn, len(list))
+	for i, x := range list {
+		out[i] = x.c
+	}
+	return out
+}
+
+// close closes a connection. Its charge is returned when its server has ended. The caller holds mu.
+func (a *Account) close(c *Conn, kind Kind) {
+	c.closed.Store(true)
+	c.expected = c.charged.Load()
+	a.expected += c.expected
+	a.closing++
+	// The server sees the error at its next call and ends.
+	_ = c.Conn.Close()
+	a.notes.add(kind, c.listener)
+}
+
+// admit charges a new connection. It closes others if there are too many or if they hold all memory. It returns false if
+// that is not enough.
+func (a *Account) admit(c *Conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.conns)-a.closing >= a.maxConns {
+		candidates := a.candidates()
+		for _, x := range candidates[:min(len(candidates), max(1, a.maxConns/batchDivisor))] {
+			a.close(x, ClosedForDescriptors)
+		}
+	}
+	if a.used.Load()-a.expected+connCost > a.limit {
+		for _, x := range a.candidates() {
+			if a.used.Load()-a.expected+connCost <= a.limit-a.limit/roomDivisor {
+				break
+			}
+			a.close(x, ClosedForMemory)
+		}
+	}
+	// The connections that are being closed still hold their memory for a moment. Their number is bounded here, so that
+	// clients that reconnect at once are not accepted faster than their earlier connections end.
+	if len(a.conns)-a.closing >= a.maxConns || a.closing > a.maxConns || a.used.Load()-a.expected+connCost > a.limit {
+		return false
+	}
+	a.used.Add(connCost)
+	c.charged.Store(connCost)
+	a.conns[c] = struct{}{}
+	return true
+}
+
+// remove returns all that a connection holds.
+func (a *Account) remove(c *Conn) {
+	a.mu.Lock()
+	if _, ok := a.conns[c]; !ok {
+		a.mu.Unlock()
+		return
+	}
+	delete(a.conns, c)
+	if c.closed.Load() {
+		a.closing--
+		a.expected -= c.expected
+	}
+	a.mu.Unlock()
+	a.giveBack(c.charged.Swap(0))
+}
+
+// open returns the number of open connections.
+func (a *Account) open() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
--- /dev/null
+++ b/connlimit/handler.go
@@ -0,0 +1,231 @@
+package connlimit
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/berylwharf/berylwharf/verdict"
+)
+
+const (
+	// bodyCost is charged for each byte of a body. io.ReadAll holds the pieces that it read and a copy of them.
+	bodyCost = 2
+	// objectCost is charged for each JSON object of a body that is decoded: a step of a job takes about 200 bytes, the
+	// slice of steps has up to twice its size while it grows, and the steps are copied once.
+	objectCost = 512
+	// maxPiece limits how far a body is read ahead of the account.
+	maxPiece = 32 << 10
+	// bodyGrace and minBodyRate set the deadline of a body: the grace, and the time that what has arrived took at the
+	// minimum rate in bytes per second. A body of 262,144 bytes may take 21 s.
+	bodyGrace   = 5 * time.Second
+	minBodyRate = 16 << 10
+	// deadlineStep is the number of bytes after which the deadline is extended.
+	deadlineStep = minBodyRate / 2
+)
+
+// handler charges the bodies of requests.
+type handler struct {
+	a      *Account
+	server Server
+	next   http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	switch {
+	case !ok:
+		h.next.ServeHTTP(w, r)
+	case r.ProtoMajor >= 2:
+		h.serveStream(w, r, c)
+	default:
+		h.serve(w, r, c)
+	}
+}
+
+// serve serves a request of HTTP/1. Its charge is returned when the server changes the state of the connection.
+func (h *handler) serve(w http.ResponseWriter, r *http.Request, c *Conn) {
+	c.inRequest.Store(true)
+	if r.Body == nil || r.Body == http.NoBody {
+		// A head that was buffered behind the request before has not passed through Read.
+		if c.phase.Load() != phaseServing {
+			c.setPhase(phaseServing)
+		}
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, start: time.Now()}
+	r.Body = b
+	c.setPhase(phaseBody)
+	b.extend()
+	h.next.ServeHTTP(w, r)
+}
+
+// serveStream serves a request of HTTP/2. The server has decoded its head, whose size HTTP2Config limits.
+func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, c *Conn) {
+	var charged atomic.Int64
+	defer func() { c.giveBack(charged.Load()) }()
+	n, lines := 0, 0
+	for name, values := range r.Header {
+		for _, v := range values {
+			n, lines = n+len(name)+len(v), lines+1
+		}
+	}
+	cost := headCost(n, lines)
+	c.streams.Add(1)
+	defer func() {
+		c.streams.Add(-1)
+		c.since.Store(c.a.now())
+	}()
+	if err := c.a.charge(c, cost); err != nil {
+		h.a.notes.add(HeadRefused, h.server.Name)
+		e := verdict.Wrap(err, verdict.NotRun, verdict.ReasonQueueFull, http.StatusServiceUnavailable, "no memory left")
+		e.RetryAfter = time.Second
+		e.Write(w, "", "")
+		return
+	}
+	charged.Add(cost)
+	if r.Body != nil && r.Body != http.NoBody {
+		b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, start: time.Now(), stream: &charged}
+		r.Body = b
+		c.reading.Add(1)
+		defer b.complete()
+	}
+	h.next.ServeHTTP(w, r)
+}
+
+// giveBack returns a part of the connection's charge.
+func (c *Conn) giveBack(n int64) {
+	// The connection may have returned all of it in Close already.
+	for {
+		charged := c.charged.Load()
+		n = min(n, charged)
+		if c.charged.CompareAndSwap(charged, charged-n) {
+			c.a.giveBack(n)
+			return
+		}
+	}
+}
+
+// body is a request body that draws on the account as it is read.
+type body struct {
+	io.ReadCloser
+	r      *http.Request
+	c      *Conn
+	server Server
+	start  time.Time
+	stream *atomic.Int64 // charge of an HTTP/2 request, nil for HTTP/1
+
+	received, extended int64 // bytes so far, and when the deadline was last extended
+	credit             int64 // bytes that are charged and not used yet
+	objects            int64 // charge for objects
+	done               bool
+}
+
+// Read implements io.Reader. It waits while there is no memory, and returns ErrRefused if there is none in time.
+func (b *body) Read(p []byte) (int, error) {
+	if b.done {
+		return b.ReadCloser.Read(p)
+	}
+	p = p[:min(len(p), maxPiece)]
+	if err := b.charge(bodyCost * int64(len(p))); err != nil {
+		return 0, err
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.credit -= bodyCost * int64(n)
+	b.received += int64(n)
+	if b.server.DecodesJSON && n > 0 {
+		if refused := b.chargeObjects(p[:n]); refused != nil {
+			return 0, refused
+		}
+	}
+	if err == io.EOF {
+		if refused := b.chargeTrailer(); refused != nil {
+			return 0, refused
+		}
+		b.complete()
+	} else if b.received-b.extended >= deadlineStep {
+		b.extend()
+	}
+	return n, err
+}
+
+// charge makes sure that n bytes are charged and not used yet.
+func (b *body) charge(n int64) error {
+	if n <= b.credit {
+		return nil
+	}
+	n -= b.credit
+	if err := b.c.a.charge(b.c, n); err != nil {
+		b.c.a.notes.add(BodyRefused, b.server.Name)
+		if b.stream == nil {
+			// The rest of the body must not be read as the begin of the next request.
+			_ = b.c.Conn.Close()
+		}
+		return err
+	}
+	if b.stream != nil {
+		b.stream.Add(n)
+	}
+	b.credit += n
+	return nil
+}
+
+// chargeObjects charges the JSON objects that begin in p. All of them together take at most half of the budget, so that each
+// body of legal size can be served, one at a time.
+func (b *body) chargeObjects(p []byte) error {
+	n := min(objectCost*int64(bytes.Count(p, []byte{'{'})), b.c.a.limit/2-b.objects)
+	if n <= 0 {
+		return nil
+	}
+	if err := b.charge(b.credit + n); err != nil {
+		return err
+	}
+	b.credit -= n
+	b.objects += n
+	return nil
+}
+
+// chargeTrailer charges the header lines behind a chunked body.
+func (b *body) chargeTrailer() error {
+	if len(b.r.Trailer) == 0 {
+		return nil
+	}
+	n, lines := 0, 0
+	for name, values := range b.r.Trailer {
+		for _, v := range values {
+			n, lines = n+len(name)+len(v), lines+1
+		}
+	}
+	return b.charge(b.credit + headCost(n, lines))
+}
+
+// extend sets the deadline of the body. The requests of an HTTP/2 connection have no deadline of their own; the connection
+// is closed when its memory is needed.
+func (b *body) extend() {
+	b.extended = b.received
+	if b.stream != nil {
+		return
+	}
+	end := b.start.Add(bodyGrace + time.Duration(b.received)*time.Second/minBodyRate)
+	b.c.bodyDeadline.Store(end.UnixNano())
+	_ = b.c.Conn.SetReadDeadline(end)
+}
+
+// complete ends the deadline of the body.
+func (b *body) complete() {
+	if b.done {
+		return
+	}
+	b.done = true
+	if b.stream != nil {
+		b.c.reading.Add(-1)
+		return
+	}
+	b.c.bodyDeadline.Store(0)
+	_ = b.c.Conn.SetReadDeadline(time.Time{})
+	b.c.setPhase(phaseServing)
+}
--- /dev/null
+++ b/connlimit/limits.go
@@ -0,0 +1,71 @@
+package connlimit
+
+import (
+	"os"
+	"runtime/debug"
+	"syscall"
+)
+
+const (
+	// Limits of the smallest machines. They apply if the settings give none.
+	defaultMemoryMB = 184
+	defaultMaxFDs   = 4100
+	// fileReserve is the number of descriptors that are kept for files.
+	fileReserve = 200
+	// clientPercent is the part of the memory that clients may hold. The rest is for the node's own state, the program,
+	// and garbage that is not collected yet.
+	clientPercent = 35
+	// softPercent is the soft limit of the runtime's memory. The program's text and the kernel's structures, which it does
+	// not include, take about 12 MB.
+	softPercent = 75
+	minConns    = 16
+)
+
+// Limits are the limits of a process. Zero means unknown, or derived from the others.
+type Limits struct {
+	MemoryMB       int64 // memory of the machine
+	MaxFDs         int64 // descriptors of the process
+	ClientMemoryMB int64 // memory that all connections together may hold
+	MaxConns       int64 // accepted connections
+}
+
+// budget returns the memory for clients in bytes, the number of connections, and the soft limit of the runtime's memory in
+// bytes, 0 for none.
+func (l Limits) budget() (memory int64, conns int, soft int64) {
+	if l.MemoryMB > 0 {
+		soft = l.MemoryMB << 20 / 100 * softPercent
+	} else {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.MaxFDs <= 0 {
+		l.MaxFDs = processFDs()
+	}
+	if l.ClientMemoryMB > 0 {
+		memory = l.ClientMemoryMB << 20
+	} else {
+		memory = l.MemoryMB << 20 / 100 * clientPercent
+	}
+	if l.MaxConns > 0 {
+		return memory, int(l.MaxConns), soft
+	}
+	// The other half is for calls to workers, the store and other nodes.
+	n := min((l.MaxFDs-fileReserve)/2, memory/2/connCost)
+	return memory, int(max(minConns, n)), soft
+}
+
+// processFDs returns the number of descriptors that the process may open, at most that of the smallest machines.
+func processFDs() int64 {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil || r.Cur > defaultMaxFDs {
+		return defaultMaxFDs
+	}
+	return int64(r.Cur)
+}
+
+// LimitRuntime sets the soft limit of the runtime's memory, unless the environment sets one or the memory of the machine is
+// unknown. Without it the heap may grow to twice of what is reachable between two collections.
+func (a *Account) LimitRuntime() {
+	if a.soft > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(a.soft)
+	}
+}
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -57,6 +58,8 @@
 	Incarnation uint64
 	// Listener accepts connections from peers. Run closes it.
 	Listener net.Listener
+	// Protect limits what clients of the listener can hold, see peer.Config.
+	Protect func(*http.Server, net.Listener) net.Listener
 	// Advertise is the address at which other nodes connect to this one. Empty selects the address of Listener.
 	Advertise string
 	Key       string         // shared by all nodes, at least peer.MinKeyBytes
@@ -168,6 +171,7 @@
 		Incarnation: cfg.Incarnation,
 		Key:         cfg.Key,
 		Listener:    cfg.Listener,
+		Protect:     cfg.Protect,
 		Allow:       cfg.Allow,
 		Heartbeat:   c.heartbeat,
 		OnHeartbeat: c.onHeartbeat,
--- /dev/null
+++ b/daemon/clients.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/berylwharf/berylwharf/connlimit"
+)
+
+// limitClients creates the account of the memory and the connections that clients may hold.
+func (d *Daemon) limitClients() error {
+	l := d.cfg.Limits
+	d.account = connlimit.NewAccount(connlimit.Limits{
+		MemoryMB: int64(l.MemoryMB), MaxFDs: int64(l.MaxFDs),
+		ClientMemoryMB: int64(l.ClientMemoryMB), MaxConns: int64(l.MaxConnections),
+	}, func(r connlimit.Refusal) {
+		d.log.Warnf("daemon: limits of clients: %s, %d since the last such line, the last one at the listener for %s",
+			r.Kind, r.Count, r.Listener)
+	})
+	d.account.LimitRuntime()
+	return errors.Wrap(d.account.RegisterMetrics(d.registry), "metrics of clients' connections")
+}
+
+// protect returns the function that makes the server of a listener draw on the account.
+func (d *Daemon) protect(name string, decodesJSON bool) func(*http.Server, net.Listener) net.Listener {
+	return func(srv *http.Server, l net.Listener) net.Listener {
+		return d.account.Protect(srv, l, connlimit.Server{Name: name, DecodesJSON: decodesJSON})
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylwharf/berylwharf/claims"
+	"github.com/berylwharf/berylwharf/connlimit"
 	"github.com/berylwharf/berylwharf/coord"
 	"github.com/berylwharf/berylwharf/entry"
 	"github.com/berylwharf/berylwharf/follower"
@@ -58,7 +59,9 @@
 	tableUpdates chan struct{} // signals the goroutine that rebuilds the routing table
 
 	listeners listeners
-	draining  atomic.Bool
+	// account limits what the clients of all listeners can hold.
+	account  *connlimit.Account
+	draining atomic.Bool
 	// settleTime is how long all members must be at the same epoch before this node becomes ready for the first time. After
 	// settleTimeout as a member, the node becomes ready regardless.
 	settleTime, settleTimeout time.Duration
@@ -86,6 +89,9 @@
 		settleTimeout: startupSettleTimeout,
 		closing:       make(chan struct{}),
 	}
+	if err := d.limitClients(); err != nil {
+		return nil, err
+	}
 	if err := d.listeners.open(cfg); err != nil {
 		return nil, err
 	}
@@ -184,6 +190,7 @@
 		Zone:               d.cfg.Zone,
 		Region:             d.cfg.Region,
 		Listener:           d.listeners.peers,
+		Protect:            d.protect("peers", false),
 		Key:                d.cfg.Peers.Key.Reveal(),
 		Allow:              d.cfg.Peers.Allow,
 		Addresses:          addresses,
@@ -347,14 +354,17 @@
 		},
 		admin: &http.Server{Handler: newAdminHandler(d, d.registry), ReadHeaderTimeout: readHeaderTimeout},
 	}
-	run := func(srv *http.Server, ln net.Listener) {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			stop(errors.Wrapf(err, "serve on %s", ln.Addr()))
-		}
+	run := func(name string, srv *http.Server, ln net.Listener, decodesJSON bool) {
+		ln = d.protect(name, decodesJSON)(srv, ln)
+		go func() {
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				stop(errors.Wrapf(err, "serve on %s", ln.Addr()))
+			}
+		}()
 	}
-	go run(s.callers, d.listeners.callers)
-	go run(s.operators, d.listeners.operators)
-	go run(s.admin, d.listeners.admin)
+	run("callers", s.callers, d.listeners.callers, false)
+	run("operators", s.operators, d.listeners.operators, true)
+	run("admin", s.admin, d.listeners.admin, false)
 	return s
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -183,12 +183,8 @@
 	// An error means that the writer does not support deadlines, as in tests, where the body is in memory.
 	_ = rc.SetReadDeadline(rq.deadline)
 	var err error
-	if r.ContentLength > 0 {
-		rq.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, rq.body)
-	} else {
-		rq.body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-	}
+	// The memory follows what arrives. A client that only announces a body must not take memory for it.
+	rq.body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		e := badRequest("the body is incomplete")
 		e.Cause = errors.Wrap(err, "read body")
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/connlimit"
 	"github.com/berylwharf/berylwharf/jobmanager"
 	"github.com/berylwharf/berylwharf/peer"
 	"github.com/berylwharf/berylwharf/platform"
@@ -36,6 +37,7 @@
 	workers   *relay.Workers
 	relay     *relay.Server
 	servers   []*http.Server
+	account   *connlimit.Account // limits what clients of all listeners can hold
 	stopNode  context.CancelFunc
 	nodeDone  chan struct{}
 	stopPeers context.CancelFunc
@@ -48,6 +50,7 @@
 	log.Event(jobmanager.LogEvent{Component: "node", Event: "starting"})
 	clock := jobmanager.SystemClock{}
 	d := &Daemon{settings: s, log: log, nodeDone: make(chan struct{}), peersDone: make(chan error, 1)}
+	d.limitClients()
 	peers, err := d.newPeers()
 	if err != nil {
 		return nil, err
@@ -60,6 +63,9 @@
 	if err := d.relay.RegisterMetrics(d.node.MetricsRegistry()); err != nil {
 		return nil, err
 	}
+	if err := d.account.RegisterMetrics(d.node.MetricsRegistry()); err != nil {
+		return nil, err
+	}
 	if err := d.listen(platform.NewCallerHandler(d.node, clock, log)); err != nil {
 		return nil, err
 	}
@@ -138,7 +144,7 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	return peer.New(peer.Config{
-		Node: s.Node, Incarnation: uint64(time.Now().UnixNano()), Key: s.PeerKey, Listener: l,
+		Node: s.Node, Incarnation: uint64(time.Now().UnixNano()), Key: s.PeerKey, Listener: l, Protect: d.protect("peers", false),
 		Heartbeat: func() peer.Heartbeat {
 			return peer.Heartbeat{Node: s.Node, Zone: s.Zone, Draining: !d.node.Ready()}
 		},
@@ -172,15 +178,21 @@
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /", callers.Readiness)
 	handlers := []struct {
-		addr    string
-		handler http.Handler
-	}{{d.settings.Callers, callers}, {d.settings.Readiness, readiness}, {d.settings.Admin, admin}}
+		name, addr  string
+		handler     http.Handler
+		decodesJSON bool
+	}{
+		{"callers", d.settings.Callers, callers, true},
+		{"readiness", d.settings.Readiness, readiness, false},
+		{"admin", d.settings.Admin, admin, false},
+	}
 	for _, h := range handlers {
 		l, err := net.Listen("tcp", h.addr)
 		if err != nil {
 			return err
 		}
 		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout}
+		l = d.protect(h.name, h.decodesJSON)(server, l)
 		d.servers = append(d.servers, server)
 		// Serve always returns a non-nil error, also after Shutdown or Close.
 		go func() { _ = server.Serve(l) }()
--- a/peer/net.go
+++ b/peer/net.go
@@ -70,6 +70,9 @@
 	OnLink func(node string, up bool)
 	// OnPanic is called when a handler panics. The message is answered with an error.
 	OnPanic func(msgType string, reason error)
+	// Protect limits what unauthenticated clients of the server can hold. It returns the listener to accept from. A nil
+	// function sets no limits.
+	Protect func(*http.Server, net.Listener) net.Listener
 	Log     *logrus.Logger   // nil discards all output
 	Metrics metrics.Registry // nil creates a private registry
 }
@@ -151,9 +154,13 @@
 		MaxHeaderBytes:    8 << 10,
 		ErrorLog:          nil,
 	}
+	listener := n.cfg.Listener
+	if n.cfg.Protect != nil {
+		listener = n.cfg.Protect(srv, listener)
+	}
 	n.wg.Go(n.heartbeatLoop)
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(n.cfg.Listener) }()
+	go func() { served <- srv.Serve(listener) }()
 	var err error
 	select {
 	case <-ctx.Done():
