--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -16,9 +16,17 @@
 	streamsCost = 128 << 10
 	// maxWait limits how long a reader waits for memory before its request is refused.
 	maxWait = time.Second
+	// minAge is the time in a phase before a connection counts as slow when memory is needed. What a client has sent at once
+	// may still be in the kernel's buffer.
+	minAge = 200 * time.Millisecond
+	// chooseInterval is how often a reader that waits looks for connections that have become slow.
+	chooseInterval = minAge + 50*time.Millisecond
 	// roomDivisor is the part of the memory that is freed at once when it is exhausted. Freeing only what one reader
 	// needs would choose among all connections for every reader.
 	roomDivisor = 8
+	// acceptDivisor is the part of the memory that only new connections may use, so that a caller with a small request is
+	// accepted while others wait for memory.
+	acceptDivisor = 8
 	// batchDivisor is the part of the connections that is closed at once when there are too many.
 	batchDivisor = 16
 	// idleDivisor lessens the weight of a connection that is idle after a complete request: its client has shown that it
@@ -36,6 +44,7 @@
 // Account is the budget of one process for its clients. Its methods may be called by several goroutines.
 type Account struct {
 	limit    int64 // bytes
+	requests int64 // bytes up to which requests may be charged
 	maxConns int
 	soft     int64 // soft limit of the runtime's memory in bytes, 0 for none
 	started  time.Time
@@ -63,6 +72,7 @@
 func NewAccount(limits Limits, report func(Refusal)) *Account {
 	a := &Account{started: time.Now(), conns: make(map[*Conn]struct{})}
 	a.limit, a.maxConns, a.soft = limits.budget()
+	a.requests = a.limit - a.limit/acceptDivisor
 	a.notes.init(report)
 	return a
 }
@@ -70,11 +80,11 @@
 // now returns the time since the account was created, in nanoseconds.
 func (a *Account) now() int64 { return int64(time.Since(a.started)) }
 
-// take charges n bytes if they fit.
+// take charges n bytes for a request if they fit.
 func (a *Account) take(n int64) bool {
 	for {
 		used := a.used.Load()
-		if used+n > a.limit {
+		if used+n > a.requests {
 			return false
 		}
 		if a.used.CompareAndSwap(used, used+n) {
@@ -111,7 +121,7 @@
 	if c.closed.Load() {
 		return errClosed
 	}
-	if n > a.limit {
+	if n > a.requests {
 		return ErrRefused
 	}
 	w := &waiter{need: n, granted: make(chan struct{})}
@@ -124,12 +134,18 @@
 		return errClosed
 	}
 	a.serveQueue()
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case <-w.granted:
-		return nil
-	case <-timer.C:
+	ticker := time.NewTicker(chooseInterval)
+	defer ticker.Stop()
+	for end := time.Now().Add(maxWait); time.Now().Before(end); {
+		select {
+		case <-w.granted:
+			return nil
+		case <-ticker.C:
+		}
+		if a.freeMemory(c, n) || c.closed.Load() {
+			a.leaveQueue(w)
+			return errClosed
+		}
 	}
 	if a.dequeue(w) {
 		return ErrRefused
@@ -172,11 +188,11 @@
 func (a *Account) freeMemory(self *Conn, n int64) (closedSelf bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.used.Load()-a.expected+n <= a.limit {
+	if a.used.Load()-a.expected+n <= a.requests {
 		return false
 	}
-	for _, c := range a.candidates() {
-		if a.used.Load()-a.expected+n <= a.limit-a.limit/roomDivisor {
+	for _, c := range a.candidates(minAge) {
+		if a.used.Load()-a.expected+n <= a.requests-a.requests/roomDivisor {
 			break
 		}
 		a.close(c, ClosedForMemory)
@@ -185,8 +201,9 @@
 	return closedSelf
 }
 
-// candidates returns the connections whose request is not complete, the slowest and largest first. The caller holds mu.
-func (a *Account) candidates() []*Conn {
+// candidates returns the connections whose request is not complete and that are in their phase for at least the given time,
+// the slowest and largest first. The caller holds mu.
+func (a *Account) candidates(age time.Duration) []*Conn {
 	type candidate struct {
 		c      *Conn
 		weight float64
@@ -194,10 +211,11 @@
 	now := a.now()
 	list := make([]candidate, 0, len(a.conns))
 	for c := range a.conns {
-		if c.closed.Load() || !c.incomplete() {
+		since := now - c.since.Load()
+		if c.closed.Load() || since < int64(age) || !c.incomplete() {
 			continue
 		}
-		weight := float64(c.charged.Load()) * float64(now-c.since.Load())
+		weight := float64(c.charged.Load()) * float64(since)
 		if c.phase.Load() == phaseIdle {
 			weight /= idleDivisor
 		}
@@ -236,14 +254,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.conns)-a.closing >= a.maxConns {
-		candidates := a.candidates()
+		candidates := a.candidates(0)
 		for _, x := range candidates[:min(len(candidates), max(1, a.maxConns/batchDivisor))] {
 			a.close(x, ClosedForDescriptors)
 		}
 	}
 	if a.used.Load()-a.expected+connCost > a.limit {
-		for _, x := range a.candidates() {
-			if a.used.Load()-a.expected+connCost <= a.limit-a.limit/roomDivisor {
+		for _, x := range a.candidates(0) {
+			if a.used.Load()-a.expected+connCost <= a.requests {
 				break
 			}
 			a.close(x, ClosedForMemory)
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -32,7 +32,7 @@
 	phaseHijacked              // the connection belongs to the handler
 )
 
-// refusal is the answer to a request whose head could not be read for want of memory.
+// refusal is the answer to a request that could not be read for want of memory.
 var refusal = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
 	verdict.Header + ": " + string(verdict.NotRun) + "\r\nContent-Length: " + strconv.Itoa(len(refusalBody)) + "\r\n\r\n" + refusalBody)
 
@@ -53,6 +53,7 @@
 
 	inRequest    atomic.Bool  // the head of the current request is complete
 	bodyDeadline atomic.Int64 // Unix time in nanoseconds until which the body must arrive, 0 for none
+	answering    atomic.Bool  // a part of the answer to the current request was sent
 	writeUntil   atomic.Int64 // Unix time in nanoseconds of the write deadline that was set by Write, 0 for none
 
 	// streams and reading count the open HTTP/2 requests and those whose body is not complete.
@@ -62,6 +63,8 @@
 	head headReader
 	// ahead and aheadLines describe the bytes that may be buffered behind the end of the request.
 	ahead, aheadLines int
+	scanned           bool // the head of the current request passed through head
+	stalled           bool // the deadline of its body has passed
 }
 
 // incomplete reports whether the connection may be closed to free memory or descriptors: it has no request, or one that was
@@ -96,7 +99,11 @@
 		case phaseNew, phaseHead:
 			c.a.notes.add(HeadTimedOut, c.listener)
 		case phaseBody:
-			c.a.notes.add(BodyStalled, c.listener)
+			// The server also ends a pending read by a deadline in the past, and reads again after an error.
+			if until := c.bodyDeadline.Load(); !c.stalled && until != 0 && time.Now().UnixNano() >= until {
+				c.stalled = true
+				c.a.notes.add(BodyStalled, c.listener)
+			}
 		}
 	}
 	return n, err
@@ -112,11 +119,18 @@
 		c.since.Store(c.a.now())
 	}
 	n, lines, end := c.head.read(p)
-	if err := c.a.charge(c, headCost(n, lines)); err != nil {
+	if end {
+		// A request whose head is complete is not closed for others while it waits for memory.
+		c.setPhase(phaseServing)
+	}
+	cost := headCost(n, lines)
+	if end {
+		cost += bodyCost * int64(len(p)-n)
+	}
+	if err := c.a.charge(c, cost); err != nil {
 		if errors.Is(err, ErrRefused) {
 			c.a.notes.add(HeadRefused, c.listener)
-			_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-			_, _ = c.Conn.Write(refusal)
+			c.refuse()
 		}
 		return err
 	}
@@ -124,16 +138,26 @@
 		return nil
 	}
 	c.inRequest.Store(true)
-	c.ahead, c.aheadLines = 0, 0
+	c.ahead, c.aheadLines, c.scanned = 0, 0, true
 	c.noteAhead(p[n:])
 	if !c.head.http2() {
-		c.setPhase(phaseServing)
 		return nil
 	}
 	c.setPhase(phaseStreams)
 	return c.a.charge(c, streamsCost)
 }
 
+// refuse answers the current request with refusal, unless a part of another answer was sent, and closes the connection. The
+// rest of the request must not be read as the begin of the next one.
+func (c *Conn) refuse() {
+	if !c.answering.Load() {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		// The client may have closed the connection.
+		_, _ = c.Conn.Write(refusal)
+	}
+	_ = c.Conn.Close()
+}
+
 // noteAhead records bytes behind a head. Bytes before the last read were used before it, except for the single byte that
 // the server reads while a handler runs.
 func (c *Conn) noteAhead(p []byte) {
@@ -157,9 +181,8 @@
 // requestDone returns the charge of a request. What is buffered behind it stays charged as the begin of the next head.
 func (c *Conn) requestDone() {
 	c.bodyDeadline.Store(0)
-	// Write sets the deadline again, because the server removes it after each request.
-	c.writeUntil.Store(0)
-	c.head = headReader{}
+	c.answering.Store(false)
+	c.head, c.scanned, c.stalled = headReader{}, false, false
 	keep := connCost + headCost(c.ahead, c.aheadLines)
 	charged := c.charged.Load()
 	if keep < charged {
@@ -181,6 +204,7 @@
 	case http.StateHijacked:
 		c.bodyDeadline.Store(0)
 		c.setPhase(phaseHijacked)
+		_ = c.Conn.SetWriteDeadline(time.Time{})
 		charged := c.charged.Swap(connCost)
 		c.a.giveBack(charged - connCost)
 	}
@@ -196,19 +220,36 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// SetWriteDeadline implements net.Conn. A deadline of the handler replaces that for stalled responses.
+// handlerDeadline is the value of writeUntil while a deadline of the handler is in force.
+const handlerDeadline = 1 << 62
+
+// SetWriteDeadline implements net.Conn. A deadline of the handler replaces that for stalled responses. The server removes the
+// deadline after each request; one that Write has set stays, because Write extends it.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
-	if t.IsZero() {
+	until := c.writeUntil.Load()
+	switch {
+	case !t.IsZero():
+		c.writeUntil.Store(handlerDeadline)
+	case until == handlerDeadline:
 		c.writeUntil.Store(0)
-	} else {
-		c.writeUntil.Store(1 << 62)
+	case c.phase.Load() != phaseHijacked:
+		return nil
 	}
 	return c.Conn.SetWriteDeadline(t)
 }
 
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
 // Write implements net.Conn. A response that makes no progress ends the connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.phase.Load() != phaseHijacked {
+		c.answering.Store(true)
 		now := time.Now()
 		if until := c.writeUntil.Load(); until < now.Add(writeStall/2).UnixNano() {
 			end := now.Add(writeStall)
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -59,8 +59,14 @@
 	}
 	b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, start: time.Now()}
 	r.Body = b
-	c.setPhase(phaseBody)
-	b.extend()
+	if c.scanned {
+		b.credit = bodyCost * int64(c.ahead)
+	}
+	// A short body has arrived with its head. Then the request is complete and needs no deadline.
+	if !c.scanned || r.ContentLength < 0 || r.ContentLength > int64(c.ahead) {
+		c.setPhase(phaseBody)
+		b.extend()
+	}
 	h.next.ServeHTTP(w, r)
 }
 
@@ -131,6 +137,11 @@
 		return b.ReadCloser.Read(p)
 	}
 	p = p[:min(len(p), maxPiece)]
+	if left := b.r.ContentLength - b.received; left > 0 {
+		p = p[:min(int64(len(p)), left)]
+	} else if b.r.ContentLength >= 0 {
+		return b.ReadCloser.Read(p) // the end of the body
+	}
 	if err := b.charge(bodyCost * int64(len(p))); err != nil {
 		return 0, err
 	}
@@ -162,8 +173,7 @@
 	if err := b.c.a.charge(b.c, n); err != nil {
 		b.c.a.notes.add(BodyRefused, b.server.Name)
 		if b.stream == nil {
-			// The rest of the body must not be read as the begin of the next request.
-			_ = b.c.Conn.Close()
+			b.c.refuse()
 		}
 		return err
 	}
@@ -225,7 +235,8 @@
 		b.c.reading.Add(-1)
 		return
 	}
-	b.c.bodyDeadline.Store(0)
-	_ = b.c.Conn.SetReadDeadline(time.Time{})
-	b.c.setPhase(phaseServing)
+	if b.c.bodyDeadline.Swap(0) != 0 {
+		_ = b.c.Conn.SetReadDeadline(time.Time{})
+		b.c.setPhase(phaseServing)
+	}
 }
