connlimit: an ordinary request stays within its connection's allowance

Cause: on the quieter machine (load 8) BenchmarkProtected showed a price: six alternating pairs had 7.4 8.3 8.3 7.9 9.3 microseconds plain and 8.1 8.7 10.4 8.2 17.3 protected (first pair 19.7 and 9.1). Each request changed the account's sum three times, which all connections share, and read the clock six times.

Change: the charge of a connection contains an allowance of 6 KB for its request, the clock is read twice, and the body's deadline is set only if the body did not come with its head.

--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -10,8 +10,11 @@
 
 const (
 	// connCost is charged for each connection, in bytes: the read and the write buffer of net/http (4 KB each), two goroutine
-	// stacks, and the structures of a connection and its request.
-	connCost = 20 << 10
+	// stacks, and the structures of a connection and its request, and the allowance.
+	connCost = 20<<10 + allowance
+	// allowance is what a request may cost without a further charge, so that an ordinary request of HTTP/1 changes nothing
+	// that connections share. Its head of 10 lines and a short body cost about 5 KB.
+	allowance = 6 << 10
 	// streamsCost is charged in addition for a connection that uses HTTP/2: receive buffers, header table, one header block.
 	streamsCost = 128 << 10
 	// maxWait limits how long a reader waits for memory before its request is refused.
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -63,8 +63,11 @@
 	// streams and reading count the open HTTP/2 requests and those whose body is not complete.
 	streams, reading atomic.Int32
 
+	wrote atomic.Int64 // when Write was last called, in Account.now
+
 	// The server reads from one goroutine at a time. The fields below belong to it.
-	head headReader
+	spare int64 // part of the allowance that is not used yet
+	head  headReader
 	// ahead and aheadLines describe the bytes that may be buffered behind the end of the request.
 	ahead, aheadLines int
 	scanned           bool // the head of the current request passed through head
@@ -92,6 +95,19 @@
 	c.phase.Store(phase)
 }
 
+// draw charges n bytes for a request of HTTP/1, first to the allowance.
+func (c *Conn) draw(n int64) error {
+	if n <= c.spare {
+		c.spare -= n
+		return nil
+	}
+	if err := c.a.charge(c, n-c.spare); err != nil {
+		return err
+	}
+	c.spare = 0
+	return nil
+}
+
 // Read implements net.Conn. It may wait until there is memory for what was read.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -123,19 +139,18 @@
 		c.noteAhead(p)
 		return nil
 	}
-	if c.phase.CompareAndSwap(phaseNew, phaseHead) || c.phase.CompareAndSwap(phaseIdle, phaseHead) {
-		c.since.Store(c.a.now())
-	}
 	n, lines, end := c.head.read(p)
 	if end {
 		// A request whose head is complete is not closed for others while it waits for memory.
-		c.setPhase(phaseServing)
+		c.phase.Store(phaseServing)
+	} else if c.phase.CompareAndSwap(phaseNew, phaseHead) || c.phase.CompareAndSwap(phaseIdle, phaseHead) {
+		c.since.Store(c.a.now())
 	}
 	cost := headCost(n, lines)
 	if end {
 		cost += bodyCost * int64(len(p)-n)
 	}
-	if err := c.a.charge(c, cost); err != nil {
+	if err := c.draw(cost); err != nil {
 		if errors.Is(err, ErrRefused) {
 			c.a.notes.add(HeadRefused, c.listener)
 			c.refuse()
@@ -191,13 +206,16 @@
 	c.bodyDeadline.Store(0)
 	c.answering.Store(false)
 	c.head, c.scanned, c.stalled = headReader{}, false, false
-	keep := connCost + headCost(c.ahead, c.aheadLines)
+	ahead := headCost(c.ahead, c.aheadLines)
+	c.spare = max(0, allowance-ahead)
+	keep := connCost + max(0, ahead-allowance)
 	charged := c.charged.Load()
 	if keep < charged {
 		c.charged.Add(keep - charged)
 		c.a.giveBack(charged - keep)
 	}
-	c.setPhase(phaseIdle)
+	c.since.Store(c.wrote.Load()) // the end of the answer was written a moment ago
+	c.phase.Store(phaseIdle)
 	c.inRequest.Store(false)
 }
 
@@ -259,6 +277,7 @@
 	if c.phase.Load() != phaseHijacked {
 		c.answering.Store(true)
 		now := time.Now()
+		c.wrote.Store(int64(now.Sub(c.a.started)))
 		if until := c.writeUntil.Load(); until < now.Add(writeStall/2).UnixNano() {
 			end := now.Add(writeStall)
 			c.writeUntil.Store(end.UnixNano())
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -51,13 +51,11 @@
 	c.inRequest.Store(true)
 	if r.Body == nil || r.Body == http.NoBody {
 		// A head that was buffered behind the request before has not passed through Read.
-		if c.phase.Load() != phaseServing {
-			c.setPhase(phaseServing)
-		}
+		c.phase.Store(phaseServing)
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, start: time.Now()}
+	b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server}
 	r.Body = b
 	if c.scanned {
 		b.credit = bodyCost * int64(c.ahead)
@@ -65,6 +63,7 @@
 	// A short body has arrived with its head. Then the request is complete and needs no deadline.
 	if !c.scanned || r.ContentLength < 0 || r.ContentLength > int64(c.ahead) {
 		c.setPhase(phaseBody)
+		b.start = time.Now()
 		b.extend()
 	}
 	h.next.ServeHTTP(w, r)
@@ -95,7 +94,7 @@
 	}
 	charged.Add(cost)
 	if r.Body != nil && r.Body != http.NoBody {
-		b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, start: time.Now(), stream: &charged}
+		b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, stream: &charged}
 		r.Body = b
 		c.reading.Add(1)
 		defer b.complete()
@@ -122,7 +121,7 @@
 	r      *http.Request
 	c      *Conn
 	server Server
-	start  time.Time
+	start  time.Time     // zero if the whole body came with its head
 	stream *atomic.Int64 // charge of an HTTP/2 request, nil for HTTP/1
 
 	received, extended int64 // bytes so far, and when the deadline was last extended
@@ -170,15 +169,18 @@
 		return nil
 	}
 	n -= b.credit
-	if err := b.c.a.charge(b.c, n); err != nil {
-		b.c.a.notes.add(BodyRefused, b.server.Name)
-		if b.stream == nil {
-			b.c.refuse()
+	var err error
+	if b.stream != nil {
+		// The streams of a connection run at the same time, so they have no part in its allowance.
+		if err = b.c.a.charge(b.c, n); err == nil {
+			b.stream.Add(n)
 		}
-		return err
+	} else if err = b.c.draw(n); err != nil {
+		b.c.refuse()
 	}
-	if b.stream != nil {
-		b.stream.Add(n)
+	if err != nil {
+		b.c.a.notes.add(BodyRefused, b.server.Name)
+		return err
 	}
 	b.credit += n
 	return nil
@@ -217,7 +219,7 @@
 // is closed when its memory is needed.
 func (b *body) extend() {
 	b.extended = b.received
-	if b.stream != nil {
+	if b.start.IsZero() {
 		return
 	}
 	end := b.start.Add(bodyGrace + time.Duration(b.received)*time.Second/minBodyRate)
@@ -237,6 +239,6 @@
 	}
 	if b.c.bodyDeadline.Swap(0) != 0 {
 		_ = b.c.Conn.SetReadDeadline(time.Time{})
-		b.c.setPhase(phaseServing)
+		b.c.phase.Store(phaseServing)
 	}
 }
--- a/connlimit/protect.go
+++ b/connlimit/protect.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: raw, a: l.a, listener: l.name}
+		c := &Conn{Conn: raw, a: l.a, listener: l.name, spare: allowance}
 		c.since.Store(l.a.now())
 		if !l.a.admit(c) {
 			_ = raw.Close()
