connlimit: the benchmark serves the view of the configuration that callers' handlers use

Cause: the callers' handler reads the configuration together with its age since keys were merged; the benchmark's stand-in gave the configuration alone and panicked. Ruled out: a change of the handler. Change: two lines of the benchmark. Result: BenchmarkProtected runs.

--- a/connlimit/bench_test.go
+++ b/connlimit/bench_test.go
@@ -21,8 +21,8 @@
 	config *jobmanager.Config
 }
 
-func (s jobService) Config() *jobmanager.Config { return s.config }
-func (s jobService) Ready() bool                { return true }
+func (s jobService) View() jobmanager.View { return jobmanager.View{Config: s.config} }
+func (s jobService) Ready() bool           { return true }
 func (s jobService) Submit(context.Context, jobmanager.QueueRef, *job.Spec) error {
 	return nil
 }
