quota: divide the caps sooner after a change of the allocator, and spread idle room by need

A new allocator waited for 3 s, because an owner that answers may itself have been replaced. Ruled out: keeping grants in the store, which needs an append a round.

Change: a report says how long ago the store confirmed the owner; one that was confirmed after the earlier allocator's end counts at once. Half of the idle room follows what pools use and need, so that a frozen grant suits the pool whose peak has begun.

--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -171,6 +171,11 @@
 // confirmed reports whether the store certainly still counts the node as a member.
 func (n *Node) confirmed(now job.Time) bool { return int64(now.Steady) < n.confirmedUntil.Load() }
 
+// confirmedFor returns the time since the last confirmation of the membership was asked for.
+func (n *Node) confirmedFor(now job.Time) time.Duration {
+	return max(0, now.Steady+membershipTTL-time.Duration(n.confirmedUntil.Load()))
+}
+
 func (n *Node) shardOf(pool string) int {
 	return int(xxhash.Sum64String(pool) % uint64(n.settings.Shards))
 }
--- a/jobmanager/quotaloop.go
+++ b/jobmanager/quotaloop.go
@@ -192,6 +192,7 @@
 			return
 		}
 		report := s.pool(c.Pool, now).QuotaRound(*c.Quota, now)
+		report.ConfirmedFor = s.node.confirmedFor(now)
 		r = reply{Quota: &report}
 	})
 	return r
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -266,7 +266,8 @@
 		s.offered, s.confirmed = maps.Clone(s.last), true
 	}
 	s.answered, s.owner, s.clock, s.heardAt = true, r.Owner, r.Clock, now
-	s.settled = s.settled || sentAt >= a.settledAt+a.membership
+	confirmedAt := sentAt - time.Duration(float64(r.ConfirmedFor)*driftFactor)
+	s.settled = s.settled || confirmedAt >= a.settledAt || sentAt >= a.settledAt+a.membership
 	s.known, s.uses = r.Known, r.Uses
 	if r.Known {
 		s.extra = nil
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -54,9 +54,11 @@
 	rest = giveWay(cs, rest)
 	rest = giveUsed(cs, rest)
 	rest = giveUnits(cs, rest)
-	share := Amount{}
-	if live > 0 {
-		share = rest.part(live)
+	demand := Amount{}
+	for i := range cs {
+		if cs[i].live {
+			demand = demand.Add(cs[i].target)
+		}
 	}
 	total := Amount{}
 	for i := range cs {
@@ -66,7 +68,7 @@
 		c := &cs[i]
 		want := c.last
 		if c.live {
-			want = c.target.Add(share)
+			want = c.target.Add(spare(rest, c.target, demand, live))
 		}
 		available := limit.Sub(total.Sub(c.counted)).Sub(c.extra).Max(Amount{})
 		c.grant = want.Min(available).unlimit(limit)
@@ -76,6 +78,18 @@
 	}
 }
 
+// spare returns a pool's part of the rest, which nothing needs now: one half is divided evenly, the other by what the pools
+// use and need. A load peak grows in the pool where it began, and its pool must do with its grant while the allocator is replaced.
+func spare(rest, target, demand Amount, live int) Amount {
+	out := rest.part(live)
+	for i := range out {
+		if demand[i] > 0 && rest[i] < NoLimit {
+			out[i] = out[i]/2 + int64(float64(rest[i])/2*float64(target[i])/float64(demand[i]))
+		}
+	}
+	return out
+}
+
 // giveWay gives the unit that has waited longest its room before what runs elsewhere, so that the others stop starting tasks
 // until it fits.
 func giveWay(cs []claimant, rest Amount) Amount {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -172,6 +172,8 @@
 	Owner      int64             `cbor:"6,keyasint"` // epoch of the owner of the pool
 	Clock      time.Duration     `cbor:"7,keyasint"` // reading of the owner's steady clock
 	// Known means that the owner knows all runs of earlier owners.
-	Known bool           `cbor:"8,keyasint,omitempty"`
-	Uses  map[string]Use `cbor:"9,keyasint,omitempty"` // by customer; those with nothing are left out
+	Known bool `cbor:"8,keyasint,omitempty"`
+	// ConfirmedFor is the time since the store was last asked whether the owner still owns the pool, and confirmed it.
+	ConfirmedFor time.Duration  `cbor:"10,keyasint,omitempty"`
+	Uses         map[string]Use `cbor:"9,keyasint,omitempty"` // by customer; those with nothing are left out
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -48,6 +48,8 @@
 	owners map[string]*Ledger
 	uses   map[string]map[string]Use
 	silent string // pool that does not answer
+	// confirmedAt is when the owners of all pools were last confirmed; 0 means just now.
+	confirmedAt time.Duration
 }
 
 func newCalls(limit int64, pools ...string) *calls {
@@ -70,6 +72,9 @@
 		c.owners[pool].Apply(o, c.now)
 		r := c.owners[pool].Report(!o.Give, c.now)
 		r.Known, r.Uses = true, c.uses[pool]
+		if c.confirmedAt > 0 {
+			r.ConfirmedFor = c.now - c.confirmedAt
+		}
 		_ = c.a.Report(pool, r, c.now, c.now)
 	}
 }
@@ -152,6 +157,7 @@
 	c.rounds(4)
 	c.a = New(3, membership, c.now)
 	begun := c.now
+	c.confirmedAt = begun + membership // just before the earlier allocator has certainly ended
 	c.uses["b"] = waits(0, 50, 1, time.Second/2, true)
 	for c.now < begun+2*membership {
 		c.round()
@@ -167,6 +173,15 @@
 		t.Errorf("error %v, want that the allocator was replaced", err)
 	}
 
+	c = newCalls(10, "a", "b")
+	c.a = New(3, membership, 0)
+	for c.grant("a") == 0 && c.now < time.Minute {
+		c.round()
+	}
+	if c.now < membership || c.now > 2*time.Second {
+		t.Errorf("granted %v after the takeover to owners that are confirmed all the time, want right after the earlier allocator's end", c.now)
+	}
+
 	c = newCalls(10, "a", "b")
 	c.a, c.silent = New(3, membership, 0), "b"
 	for c.grant("a") == 0 && c.now < time.Minute {
--- a/quota/schedule_test.go
+++ b/quota/schedule_test.go
@@ -30,6 +30,7 @@
 	ledger              *Ledger
 	epoch               int64
 	from, until, origin time.Duration // when it acts, and the origin of its clock
+	replaced            time.Duration // when it was replaced
 }
 
 type testPool struct {
@@ -99,6 +100,7 @@
 	why := o.ledger.Apply(offer, clock)
 	r := o.ledger.Report(!offer.Give || why != "", clock)
 	_, r.Known = s.used(p, o, 0)
+	r.ConfirmedFor = s.now - min(s.now, o.replaced) + s.upTo(450*time.Millisecond)
 	r.Uses = uses
 	return r
 }
@@ -143,7 +145,7 @@
 			p.cut = min(testFaults, s.now+s.upTo(4*time.Second))
 			p.calm = p.cut + 2*time.Second
 		} else if s.chance(0.001) {
-			last.until = s.now + s.upTo(testMembership)
+			last.until, last.replaced = s.now+s.upTo(testMembership), s.now
 			s.newOwner(p, s.now+s.upTo(2*time.Second))
 			p.calm = s.now + 4*time.Second
 			for i := range p.runs {
@@ -162,7 +164,7 @@
 
 func (s *testSystem) newOwner(p *testPool, from time.Duration) {
 	epoch := int64(len(p.owners) + 1)
-	p.owners = append(p.owners, &testOwner{ledger: NewLedger(epoch), epoch: epoch, from: from, until: testEnd, origin: s.upTo(time.Hour)})
+	p.owners = append(p.owners, &testOwner{ledger: NewLedger(epoch), epoch: epoch, from: from, until: testEnd, replaced: testEnd, origin: s.upTo(time.Hour)})
 }
 
 func (s *testSystem) newAllocator(from time.Duration) {
