job: a new owner counts possible runs of its predecessor instead of waiting for all workers

Cause: a new owner of a pool did not know all runs until each worker had reported or its lease had expired (8.4 s at most), and a new allocator gave nothing until then.

Ruled out: the wait of the allocator alone; with that shortened the pools' owners were what it waited for.

Change: the new owner counts the tasks of the loaded jobs that may run on workers without a report, at most what fits there, and reports that it knows its runs 0.5 s after the takeover.

Result: TestSuccessorCountsPossibleRuns; go test ./job ./jobmanager ./quota passes.

--- a/job/pool.go
+++ b/job/pool.go
@@ -177,6 +177,7 @@
 		}
 		p.restoreJob(lj, now)
 	}
+	defer p.countInherited(now)
 	for _, info := range l.Workers[p.cfg.Pool] {
 		w := p.addWorker(info, now)
 		w.listed = false
@@ -327,6 +328,7 @@
 // housekeeping does time-based work.
 func (p *Pool) housekeeping(now Time) {
 	p.expire(now)
+	p.countInherited(now)
 	for id, j := range p.open {
 		p.tickJob(id, j, now)
 	}
--- a/job/quota.go
+++ b/job/quota.go
@@ -14,6 +14,8 @@
 	holdPeriod = 700 * time.Millisecond
 	// quotaEventInterval is the minimum time between events about one customer.
 	quotaEventInterval = 5 * time.Second
+	// firstReportTime is the time after a takeover by which the workers that answer have reported once.
+	firstReportTime = 500 * time.Millisecond
 )
 
 // quotaState is what the pool knows about the caps of the customers.
@@ -25,17 +27,21 @@
 	limited bool
 	now     time.Duration // time of the current pass
 	uses    map[string]*customerUse
-	known   bool // this owner knows all runs of earlier owners
+	known   bool // what this owner counts contains all runs of earlier owners
 	// budgetPass identifies the budgets of the current pass, which begin with the whole grant or with what is left of it.
 	budgetPass  int
 	budgetWhole bool
-	refusedAt   time.Duration // of the last event about a refused offer
+	// inheritedOver means that no task of an earlier owner can run unknown to this one.
+	inheritedOver bool
+	refusedAt     time.Duration // of the last event about a refused offer
 }
 
 // customerUse is what one customer has running in the pool.
 type customerUse struct {
 	used quota.Amount // of runs, from their order to their certain end
 	late quota.Amount // of earlier starts that a later incarnation of a worker may carry out
+	// inherited is of tasks that an earlier owner may have running on workers that have not reported to this one.
+	inherited quota.Amount
 	// holder is a job whose next unit does not fit in the grant; until heldUntil, the customer's other jobs start nothing.
 	holder    string
 	heldUntil time.Duration
@@ -45,6 +51,9 @@
 	eventAt    time.Duration // of the last event that the customer is held up
 }
 
+// counted returns what counts against the grant of the customer.
+func (u *customerUse) counted() quota.Amount { return u.used.Add(u.late).Add(u.inherited) }
+
 // lateCharge is the request of a start that a later incarnation of a worker may carry out.
 type lateCharge struct {
 	customer string
@@ -132,7 +141,7 @@
 		return quota.Amount{}, false
 	}
 	u := p.customerUse(customer)
-	return grant.Sub(u.used).Sub(u.late), true
+	return grant.Sub(u.counted()), true
 }
 
 // quotaRoom returns how many tasks of a step, or for a gang whether the whole gang, may start within the grant of the customer.
@@ -202,7 +211,7 @@
 	if u.budgetPass != p.quota.budgetPass {
 		u.budgetPass, u.budget = p.quota.budgetPass, grant
 		if !p.quota.budgetWhole {
-			u.budget = grant.Sub(u.used).Sub(u.late)
+			u.budget = grant.Sub(u.counted())
 		}
 	}
 	unit := quotaUnit(step)
@@ -241,8 +250,8 @@
 		limit = c.String()
 	}
 	u := p.customerUse(customer)
-	return fmt.Sprintf("customer %s: configuration %d (allocator %d), cap %s, grant %d.%d of %v, %d ms old, in use %v, late starts %v",
-		customer, p.quota.version, l.Version(), limit, epoch, number, grant, age.Milliseconds(), u.used, u.late)
+	return fmt.Sprintf("customer %s: configuration %d (allocator %d), cap %s, grant %d.%d of %v, %d ms old, in use %v, late starts %v, possible runs of earlier owners %v",
+		customer, p.quota.version, l.Version(), limit, epoch, number, grant, age.Milliseconds(), u.used, u.late, u.inherited)
 }
 
 // explainQuota returns why the grant of its customer keeps a task waiting, or "" if it does not.
@@ -271,9 +280,10 @@
 	return r
 }
 
-// knowsAllRuns reports whether this owner knows all runs of earlier owners.
+// knowsAllRuns reports whether what this owner counts contains all runs of earlier owners. Runs on workers that have not
+// reported are counted by countInherited, stray runs are not.
 func (p *Pool) knowsAllRuns(now Time) bool {
-	if p.quota.known || now.Steady < p.unreportedLeasesEnd() {
+	if p.quota.known || (now.Steady < p.createdAt.Steady+firstReportTime && now.Steady < p.unreportedLeasesEnd()) {
 		return p.quota.known
 	}
 	for _, w := range p.workers {
@@ -289,7 +299,7 @@
 func (p *Pool) quotaUses(now Time) map[string]quota.Use {
 	out := make(map[string]quota.Use)
 	for customer, u := range p.quota.uses {
-		if sum := u.used.Add(u.late); !sum.Zero() {
+		if sum := u.counted(); !sum.Zero() {
 			out[customer] = quota.Use{Used: sum}
 		}
 	}
--- a/job/quota_test.go
+++ b/job/quota_test.go
@@ -129,6 +129,30 @@
 	expect(0, "after the confirmed stop and a report")
 }
 
+// TestSuccessorCountsPossibleRuns guards against starts beyond the cap beside runs of an earlier owner on a worker that does not
+// answer, and against a new owner that leaves the allocator waiting until the lease of that worker has expired.
+func TestSuccessorCountsPossibleRuns(t *testing.T) {
+	for _, c := range []struct{ count, want int64 }{{3, 3000}, {9, 4000}} { // the silent worker has 4 cores
+		s := oneStep("x", int(c.count), 1000)
+		s.Customer = "c"
+		p := restoredPoolOf(t, s)
+		p.SetCustomers(map[string]CustomerLimits{"c": {Cap: Resources{CPU: 12000}}})
+		p.SetCaps(1)
+		p.advance(firstReportTime)
+		p.report("a")
+		p.tick()
+		if r := p.grant(12000); !r.Known || r.Uses["c"].Used[quota.CPU] != c.want {
+			t.Errorf("%d tasks: %+v, want that all is known and %d in use", c.count, r, c.want)
+		}
+		p.advance(7 * time.Second)
+		p.report("a")
+		p.housekeeping(p.now)
+		if u := p.grant(12000).Uses["c"].Used[quota.CPU]; u != 0 {
+			t.Errorf("%d tasks: %d in use after the lease has expired, want 0", c.count, u)
+		}
+	}
+}
+
 // TestGangWaitsForItsGrant guards against gangs that start in parts, or starve behind small tasks of the same customer.
 func TestGangWaitsForItsGrant(t *testing.T) {
 	p := capped(t, "w")
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -8,7 +8,11 @@
 // restoredPool returns the pool of a later owner with a stored job and a recorded worker that is no longer listed.
 func restoredPool(t *testing.T) *testPool {
 	t.Helper()
-	s := oneStep("x", 1, 1000)
+	return restoredPoolOf(t, oneStep("x", 1, 1000))
+}
+
+func restoredPoolOf(t *testing.T, s *Spec) *testPool {
+	t.Helper()
 	s.Pool, s.Queue, s.Attempts = "pool", "queue", 2
 	loaded := Decode([]Record{
 		{Key: keySpec + "x", Value: encode(specRecord{Phase: Active, Spec: s})},
