job: shares of customers in the queue and at admission

Cause: a pool did not know whose job it served.

Change: job/share.go keeps what each customer with a weight holds and asks for, orders the queue by share within each class, and decides on admission. Jobs beyond a customer's rate are spare work.

--- a/command/trace.go
+++ b/command/trace.go
@@ -36,11 +36,13 @@
 
 // decisiveEvents maps the log messages that determine the result of a job for its caller to an explanation.
 var decisiveEvents = map[string]string{
-	"callers: refused":   "the caller was refused",
-	"job: job refused":   "the owner refused the job",
-	"job: job completed": "all tasks are done",
-	"job: job failed":    "a task used up its attempts",
-	"job: job cancelled": "the job was cancelled",
+	"callers: refused":            "the caller was refused",
+	"job: job refused":            "the owner refused the job",
+	"job: job refused over rate":  "the owner refused the job, which exceeds the rate of its customer",
+	"job: job refused over share": "the owner refused the job for the backlog of its customer",
+	"job: job completed":          "all tasks are done",
+	"job: job failed":             "a task used up its attempts",
+	"job: job cancelled":          "the job was cancelled",
 }
 
 func (b *builder) trace() *cli.Command {
--- a/job/customer.go
+++ b/job/customer.go
@@ -10,4 +10,10 @@
 }
 
 // SetCustomers sets the limits of the customers, by name. They replace all earlier ones.
-func (p *Pool) SetCustomers(limits map[string]CustomerLimits) { p.customers = limits }
+func (p *Pool) SetCustomers(limits map[string]CustomerLimits) {
+	p.customers = limits
+	p.shares.set(limits)
+}
+
+// SetCustomersVersion sets the version of the configuration from which the limits of the customers come. It appears in events.
+func (p *Pool) SetCustomersVersion(version int64) { p.shares.version = version }
--- a/job/explain.go
+++ b/job/explain.go
@@ -18,7 +18,7 @@
 	for _, o := range j.occurrences {
 		if t := o.firstPending(); t != nil {
 			p.event(Event{
-				Kind: "job waits", Job: j.spec.ID, Queue: j.spec.Queue, Task: t.id, Reason: p.explain(t, now),
+				Kind: "job waits", Job: j.spec.ID, Queue: j.spec.Queue, Task: t.id, Reason: p.explain(t, now) + p.explainShare(j, now),
 				AgeMs: (now.Steady - j.acceptedAt).Milliseconds(),
 			})
 			return
--- a/job/overload.go
+++ b/job/overload.go
@@ -16,26 +16,29 @@
 	total  time.Duration
 }
 
-// checkAdmission returns zero when a job is admitted, and otherwise the time after which capacity is expected.
+// checkAdmission decides whether a job is admitted, and otherwise after which time capacity is expected.
 //
 // It sheds load. A job is admitted when it can meet its objective behind the other jobs that can. Late jobs do not
 // count here, however many are waiting, because they are scheduled after it. Otherwise it is admitted while it can be
 // completed behind all jobs within expiryFactor times its objective; beyond that, waiting would not help the caller.
-func (p *Pool) checkAdmission(s *Spec) time.Duration {
+func (p *Pool) checkAdmission(s *Spec, now Time) admission {
 	if s.longRunning() || s.Occurrences > 0 {
-		return 0
+		return admission{}
 	}
-	work := p.work(s)
+	if c := p.shares.parties[s.Customer]; c != nil {
+		return p.checkShare(c, s, now)
+	}
+	work := p.work(s, p.capacity())
 	wait := p.backlog.total - (expiryFactor*s.objective() - s.criticalPath())
 	onTime := p.backlog.onTime <= s.objective()-s.criticalPath()
 	if !onTime && wait > 0 {
-		return min(maxRetryAfter, max(minRetryAfter, wait))
+		return admission{wait: min(maxRetryAfter, max(minRetryAfter, wait)), event: Event{Kind: "job refused"}}
 	}
 	p.backlog.total += work
 	if onTime {
 		p.backlog.onTime += work
 	}
-	return 0
+	return admission{}
 }
 
 // capacity returns the capacity for tasks that are not long-running. Workers that are evacuated get no new tasks and do not
@@ -51,9 +54,8 @@
 	return c
 }
 
-// work returns the time that the pool needs for a whole job.
-func (p *Pool) work(s *Spec) time.Duration {
-	capacity := p.capacity()
+// work returns the time that a pool of the given capacity needs for a whole job.
+func (p *Pool) work(s *Spec, capacity Resources) time.Duration {
 	var total time.Duration
 	for i := range s.Steps {
 		total += p.taskWork(s.Queue, &s.Steps[i], capacity) * time.Duration(s.Steps[i].Count)
--- a/job/overload_test.go
+++ b/job/overload_test.go
@@ -44,17 +44,21 @@
 
 // submit submits a job of one step whose tasks occupy an eighth of a worker each.
 func (s *overloadSim) submit(tasks int, duration time.Duration) {
-	id := fmt.Sprintf("j%05d", len(s.submitted)+s.refused)
-	spec := &Spec{
-		ID: id, Pool: "pool", Queue: "q", Attempts: 2, ObjectiveFactor: 1.6, ObjectiveMargin: 600 * time.Millisecond,
-		AcceptedMs: s.now.WallMs,
-		Steps:      []Step{{Count: tasks, Request: Resources{CPU: 8000, MemMB: 8000}, Estimate: duration}},
-	}
-	if answer, _ := s.pool.Submit(spec, s.now); answer == Refused {
+	s.submitSpec(Spec{Queue: "q", Steps: []Step{{Count: tasks, Request: Resources{CPU: 8000, MemMB: 8000}, Estimate: duration}}})
+}
+
+// submitSpec submits a job under a new identifier, which it returns with the answer.
+func (s *overloadSim) submitSpec(spec Spec) (string, Answer, time.Duration) {
+	spec.ID = fmt.Sprintf("j%05d", len(s.submitted)+s.refused)
+	spec.Pool, spec.Attempts, spec.AcceptedMs = "pool", 2, s.now.WallMs
+	spec.ObjectiveFactor, spec.ObjectiveMargin = 1.6, 600*time.Millisecond
+	answer, wait := s.pool.Submit(&spec, s.now)
+	if answer == Refused {
 		s.refused++
-		return
+	} else {
+		s.submitted[spec.ID] = s.now.Steady
 	}
-	s.submitted[id] = s.now.Steady
+	return spec.ID, answer, wait
 }
 
 // step advances the time by overloadStep.
--- a/job/pool.go
+++ b/job/pool.go
@@ -62,6 +62,7 @@
 	arrivals         arrivals
 	events           []Event
 	customers        map[string]CustomerLimits // by name
+	shares           shares
 }
 
 // runState is what the owner knows about a run.
@@ -136,6 +137,7 @@
 	dirtySpec       bool
 	dirtyProgress   bool
 	removed         bool // to be deleted from the store
+	spare           bool // submitted beyond the rate of its customer
 	committing      bool // part of the outstanding commit
 }
 
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -20,6 +20,8 @@
 	precedenceExpiring
 	precedenceOnTime
 	precedenceLate
+	// precedenceSpare is for jobs beyond the rate of their customer that can still meet their objective.
+	precedenceSpare
 	// precedenceExpired is for jobs whose result is no longer of use to the caller. They are still run.
 	precedenceExpired
 )
@@ -38,6 +40,9 @@
 	precedence            precedence
 	latestStart           time.Duration // latest start of the remaining work that meets the objective
 	remainingCriticalPath time.Duration
+	party                 *party    // nil for long-running jobs and without weighted customers
+	beyondShare           bool      // of its party
+	request               Resources // of the tasks that could start now, if it has a party
 }
 
 // schedule starts pending tasks where there is free capacity.
@@ -70,9 +75,11 @@
 		}
 	}
 	slices.SortFunc(q, compareQueueEntries)
+	p.countShares(q, now)
+	p.markShares(q)
 	spare, changed := p.demoteLate(q, now)
 	if p.demoteExpiring(q, spare) || changed {
-		slices.SortFunc(q, compareQueueEntries)
+		p.remarkShares(q)
 	}
 	return q
 }
@@ -94,10 +101,15 @@
 		}
 		work := p.pendingWork(w, capacity)
 		total += work
+		onTime := w.precedence == precedenceOnTime && ahead <= w.latestStart-now.Steady && p.onTimeAtShare(w, now)
+		w.party.addWork(work, onTime)
+		if w.precedence == precedenceSpare {
+			p.shares.spare += work
+		}
 		if w.precedence != precedenceOnTime {
 			continue
 		}
-		if ahead > w.latestStart-now.Steady {
+		if !onTime {
 			w.precedence = precedenceLate
 			found = true
 			continue
@@ -138,13 +150,18 @@
 	for _, w := range p.workers {
 		for _, r := range w.runs {
 			if !r.task.step.LongRunning {
-				total += p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
+				total += p.remainingWork(r, capacity)
 			}
 		}
 	}
 	return total
 }
 
+// remainingWork returns the time that the pool needs for half of the work of a run.
+func (p *Pool) remainingWork(r *run, capacity Resources) time.Duration {
+	return p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
+}
+
 // pendingWork returns the time that the pool needs for the tasks of an occurrence that are not running yet.
 func (p *Pool) pendingWork(w *queueEntry, capacity Resources) time.Duration {
 	var total time.Duration
@@ -188,11 +205,27 @@
 	case now.Steady > w.latestStart:
 		w.precedence = precedenceLate
 	}
+	if j.spare && w.precedence > precedenceStarving {
+		// Nothing is owed for a job beyond the rate once it is late.
+		w.precedence = precedenceSpare
+		if now.Steady > w.latestStart {
+			w.precedence = precedenceExpired
+		}
+	}
 	return w
 }
 
 func compareQueueEntries(a, b queueEntry) int {
-	if c := cmp.Or(cmp.Compare(a.precedence, b.precedence), cmp.Compare(a.job.spec.Priority, b.job.spec.Priority)); c != 0 {
+	if c := cmp.Compare(a.precedence, b.precedence); c != 0 {
+		return c
+	}
+	if a.beyondShare != b.beyondShare {
+		if b.beyondShare {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(a.job.spec.Priority, b.job.spec.Priority); c != 0 {
 		return c
 	}
 	return cmp.Or(cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.job.spec.ID, b.job.spec.ID),
--- a/job/submit.go
+++ b/job/submit.go
@@ -38,12 +38,16 @@
 		return Pending, 0
 	}
 	p.recordArrival(s, now)
-	if wait := p.checkAdmission(s); wait > 0 {
-		p.event(Event{Kind: "job refused", Job: s.ID, Queue: s.Queue, AgeMs: wait.Milliseconds()})
-		return Refused, wait
+	a := p.checkAdmission(s, now)
+	if a.event.Kind != "" {
+		a.event.Job, a.event.Queue, a.event.AgeMs = s.ID, s.Queue, a.wait.Milliseconds()
+		p.event(a.event)
+	}
+	if a.wait > 0 {
+		return Refused, a.wait
 	}
 	j := &jobState{
-		spec: s, phase: Active, storedPhase: Active, acceptedAt: now.Steady, dirtySpec: true,
+		spec: s, phase: Active, storedPhase: Active, acceptedAt: now.Steady, dirtySpec: true, spare: a.spare,
 		occurrences: make(map[int]*occurrence),
 	}
 	p.jobs[s.ID] = j
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -341,6 +341,7 @@
 		if s.customersVersions[name] != config.Version {
 			s.customersVersions[name] = config.Version
 			p.SetCustomers(config.customerLimits())
+			p.SetCustomersVersion(config.Version)
 		}
 	}
 }
