--- a/job/schedule.go
+++ b/job/schedule.go
@@ -75,23 +75,24 @@
 		}
 	}
 	slices.SortFunc(q, compareQueueEntries)
-	p.countShares(q, now)
+	capacity := p.capacity()
+	p.shares.reset(capacity, now)
+	running := p.runningWork(capacity)
+	p.countShares(q)
 	p.markShares(q)
-	spare, changed := p.demoteLate(q, now)
+	spare, changed := p.demoteLate(q, running, capacity, now)
 	if p.demoteExpiring(q, spare) || changed {
 		p.remarkShares(q)
 	}
 	return q
 }
 
-// demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them. It
-// returns how long all jobs that can be on time could wait longer, and whether it moved any occurrence.
+// demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them, which at
+// first is that of the running tasks. It returns how long all jobs that can be on time could wait longer, and whether it moved any occurrence.
 //
 // This keeps overload from making every job late: in deadline order alone, each job would start just when it can no
 // longer complete in time.
-func (p *Pool) demoteLate(q []queueEntry, now Time) (spare time.Duration, found bool) {
-	capacity := p.capacity()
-	ahead := p.runningWork(capacity)
+func (p *Pool) demoteLate(q []queueEntry, ahead time.Duration, capacity Resources, now Time) (spare time.Duration, found bool) {
 	total := ahead
 	spare = expiryWindow
 	for i := range q {
@@ -144,24 +145,21 @@
 }
 
 // runningWork returns the time that the pool needs for half of the work of the running tasks, an estimate of what is
-// left of it.
+// left of it. It counts them for their parties.
 func (p *Pool) runningWork(capacity Resources) time.Duration {
 	var total time.Duration
 	for _, w := range p.workers {
 		for _, r := range w.runs {
 			if !r.task.step.LongRunning {
-				total += p.remainingWork(r, capacity)
+				work := p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
+				p.shares.addRunning(r, work)
+				total += work
 			}
 		}
 	}
 	return total
 }
 
-// remainingWork returns the time that the pool needs for half of the work of a run.
-func (p *Pool) remainingWork(r *run, capacity Resources) time.Duration {
-	return p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
-}
-
 // pendingWork returns the time that the pool needs for the tasks of an occurrence that are not running yet.
 func (p *Pool) pendingWork(w *queueEntry, capacity Resources) time.Duration {
 	var total time.Duration
--- a/job/share.go
+++ b/job/share.go
@@ -86,7 +86,7 @@
 	return &s.unowned
 }
 
-// reset clears the derived state before a scheduling pass.
+// reset clears the derived state before a scheduling pass counts it again.
 func (s *shares) reset(capacity Resources, now Time) {
 	for _, c := range s.parties {
 		c.reset()
@@ -136,6 +136,9 @@
 
 // addRunning counts a run.
 func (s *shares) addRunning(r *run, work time.Duration) {
+	if !s.enabled() {
+		return
+	}
 	c := s.of(r.task.job.spec)
 	s.activate(c)
 	size := r.task.step.reserved()
@@ -154,20 +157,12 @@
 	}
 }
 
-// countShares counts the work of the parties, and with it the parties that have any, before a scheduling pass.
-func (p *Pool) countShares(q []queueEntry, now Time) {
+// countShares adds the occurrences of a queue to the parties, whose runs have been counted.
+func (p *Pool) countShares(q []queueEntry) {
 	s := &p.shares
 	if !s.enabled() {
 		return
 	}
-	s.reset(p.capacity(), now)
-	for _, w := range p.workers {
-		for _, r := range w.runs {
-			if !r.task.step.LongRunning {
-				s.addRunning(r, p.remainingWork(r, s.capacity))
-			}
-		}
-	}
 	for i := range q {
 		if w := &q[i]; w.precedence != precedenceLongRunning {
 			w.party = s.of(w.job.spec)
