--- a/job/pool.go
+++ b/job/pool.go
@@ -72,6 +72,7 @@
 	customers        map[string]CustomerLimits // by name
 	interference     interferenceState
 	quota            quotaState
+	shares           shares
 }
 
 // runState is what the owner knows about a run.
@@ -149,6 +150,10 @@
 	dirtySpec       bool
 	dirtyProgress   bool
 	removed         bool // to be deleted from the store
+	spare           bool // submitted beyond the rate of its customer
+	// party is that of the job in the given generation of the weights.
+	party           *party
+	partyGeneration int64
 	committing      bool // part of the outstanding commit
 }
 
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -20,6 +20,8 @@
 	precedenceExpiring
 	precedenceOnTime
 	precedenceLate
+	// precedenceSpare is for jobs beyond the rate of their customer that can still meet their objective.
+	precedenceSpare
 	// precedenceExpired is for jobs whose result is no longer of use to the caller. They are still run.
 	precedenceExpired
 )
@@ -38,6 +40,9 @@
 	precedence            precedence
 	latestStart           time.Duration // latest start of the remaining work that meets the objective
 	remainingCriticalPath time.Duration
+	party                 *party    // nil for long-running jobs and without weighted customers
+	beyondShare           bool      // of its party
+	request               Resources // of the tasks that could start now, if it has a party
 }
 
 // schedule starts pending tasks where there is free capacity.
@@ -70,22 +75,25 @@
 		}
 	}
 	slices.SortFunc(q, compareQueueEntries)
-	spare, changed := p.demoteLate(q, now)
+	capacity := p.capacity()
+	p.shares.reset(capacity, now)
+	running := p.runningWork(capacity)
+	p.countShares(q)
+	p.markShares(q)
+	spare, changed := p.demoteLate(q, running, capacity, now)
 	if p.demoteExpiring(q, spare) || changed {
-		slices.SortFunc(q, compareQueueEntries)
+		p.remarkShares(q)
 	}
 	return q
 }
 
-// demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them. It
-// returns how long all jobs that can be on time could wait longer, and whether it moved any occurrence.
+// demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them, which at
+// first is that of the running tasks. It returns how long all jobs that can be on time could wait longer, and whether it moved any occurrence.
 //
 // This keeps overload from making every job late: in deadline order alone, each job would start just when it can no
 // longer complete in time.
-func (p *Pool) demoteLate(q []queueEntry, now Time) (spare time.Duration, found bool) {
+func (p *Pool) demoteLate(q []queueEntry, ahead time.Duration, capacity Resources, now Time) (spare time.Duration, found bool) {
 	p.beginQuotaBudgets(true)
-	capacity := p.capacity()
-	ahead := p.runningWork(capacity)
 	total := ahead
 	spare = expiryWindow
 	for i := range q {
@@ -95,10 +103,15 @@
 		}
 		work := p.pendingWork(w, capacity)
 		total += work
+		onTime := w.precedence == precedenceOnTime && ahead <= w.latestStart-now.Steady && p.onTimeAtShare(w, now)
+		w.party.addWork(work, onTime)
+		if w.precedence == precedenceSpare {
+			p.shares.spare += work
+		}
 		if w.precedence != precedenceOnTime {
 			continue
 		}
-		if ahead > w.latestStart-now.Steady {
+		if !onTime {
 			w.precedence = precedenceLate
 			found = true
 			continue
@@ -134,13 +147,15 @@
 }
 
 // runningWork returns the time that the pool needs for half of the work of the running tasks, an estimate of what is
-// left of it.
+// left of it. It counts them for their parties.
 func (p *Pool) runningWork(capacity Resources) time.Duration {
 	var total time.Duration
 	for _, w := range p.workers {
 		for _, r := range w.runs {
 			if !r.task.step.LongRunning {
-				total += p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
+				work := p.taskWork(r.task.job.spec.Queue, r.task.step, capacity) / 2
+				p.shares.addRunning(r, work)
+				total += work
 			}
 		}
 	}
@@ -191,11 +206,27 @@
 	case now.Steady > w.latestStart:
 		w.precedence = precedenceLate
 	}
+	if j.spare && w.precedence > precedenceStarving {
+		// Nothing is owed for a job beyond the rate once it is late.
+		w.precedence = precedenceSpare
+		if now.Steady > w.latestStart {
+			w.precedence = precedenceExpired
+		}
+	}
 	return w
 }
 
 func compareQueueEntries(a, b queueEntry) int {
-	if c := cmp.Or(cmp.Compare(a.precedence, b.precedence), cmp.Compare(a.job.spec.Priority, b.job.spec.Priority)); c != 0 {
+	if c := cmp.Compare(a.precedence, b.precedence); c != 0 {
+		return c
+	}
+	if a.beyondShare != b.beyondShare {
+		if b.beyondShare {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(a.job.spec.Priority, b.job.spec.Priority); c != 0 {
 		return c
 	}
 	return cmp.Or(cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.job.spec.ID, b.job.spec.ID),
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -347,6 +347,7 @@
 			s.customersVersions[name] = config.Version
 			p.SetCustomers(config.customerLimits())
 			p.SetCaps(config.Version)
+			p.SetCustomersVersion(config.Version)
 		}
 	}
 }
