--- a/interference/estimator.go
+++ b/interference/estimator.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -135,6 +136,22 @@
 	return k
 }
 
+// Save returns a function that puts the set of kinds and the times of their last use back, after trials that call only Kind,
+// Effect and Slowness.
+func (e *Estimator) Save() (restore func()) {
+	kinds := maps.Clone(e.kinds)
+	used := make(map[*Kind]time.Duration, len(kinds))
+	for _, k := range kinds {
+		used[k] = k.lastUsed
+	}
+	return func() {
+		e.kinds = kinds
+		for k, at := range used {
+			k.lastUsed = at
+		}
+	}
+}
+
 // dropUnused drops the quarter of the kinds that was not used for the longest time.
 func (e *Estimator) dropUnused() {
 	kinds := e.sortedKinds()
--- a/job/explain.go
+++ b/job/explain.go
@@ -49,6 +49,29 @@
 	if why := p.explainQuota(t); why != "" {
 		return why
 	}
+	c := p.conditions(t, now)
+	return fmt.Sprintf("%s: %d of %d workers usable, %d with label, %d with room, %d allowed",
+		s.describeNeed(), c[1].Workers, c[0].Workers, c[2].Workers, c[3].Workers, c[4].Workers)
+}
+
+// describeNeed returns what a task of the step, or the whole gang, needs.
+func (s *Step) describeNeed() string {
+	kind := "task"
+	if s.Gang {
+		kind = fmt.Sprintf("gang of %d", s.Count)
+	}
+	return fmt.Sprintf("%s needs cpu=%d memMb=%d gpu=%d label=%q", kind, s.Request.CPU, s.Request.MemMB, s.Request.GPU, s.Label)
+}
+
+// Condition is a condition of placement, with the number of workers that meet it and those before it.
+type Condition struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Workers int    `cbor:"2,keyasint,omitempty" json:"workers"`
+}
+
+// conditions returns the number of workers that remain for a task after each condition of placement, all workers first.
+func (p *Pool) conditions(t *task, now Time) []Condition {
+	s := t.step
 	usable, labelled, withCapacity, allowed := 0, 0, 0, 0
 	for _, w := range p.workers {
 		if !w.usable(now) {
@@ -67,10 +90,5 @@
 			allowed++
 		}
 	}
-	kind := "task"
-	if s.Gang {
-		kind = fmt.Sprintf("gang of %d", s.Count)
-	}
-	return fmt.Sprintf("%s needs cpu=%d memMb=%d gpu=%d label=%q: %d of %d workers usable, %d with label, %d with room, %d allowed",
-		kind, s.Request.CPU, s.Request.MemMB, s.Request.GPU, s.Label, usable, len(p.workers), labelled, withCapacity, allowed)
+	return []Condition{{"all", len(p.workers)}, {"usable", usable}, {"with label", labelled}, {"with room", withCapacity}, {"allowed", allowed}}
 }
