command, jobmanager, platform: explain request and explain job

An operator asks any node on its admin address where a call would go now. The node makes the callers' decisions with a customer's name in place of a key and asks the owner of the pool by the peer call job.explain. locate and isForeign are split into the decision and its effects, the refusals of the callers' handler into functions; their behavior is unchanged. Ruled out: the callers' port, which is open to customers, and asking the owner's node directly, since queues may be redirected.

--- a/command/args.go
+++ b/command/args.go
@@ -64,7 +64,7 @@
 // wantsJSON reports whether the arguments select JSON output. It serves errors that occur before the flags are parsed.
 func wantsJSON(args []string) bool {
 	for i, a := range args {
-		if a == "-o=json" || a == "--output=json" || a == "json" && i > 0 && slices.Contains([]string{"-o", "--output"}, args[i-1]) {
+		if a == "--json" || a == "-o=json" || a == "--output=json" || a == "json" && i > 0 && slices.Contains([]string{"-o", "--output"}, args[i-1]) {
 			return true
 		}
 	}
--- a/command/fleet.go
+++ b/command/fleet.go
@@ -147,32 +147,6 @@
 	return printPlan(ctx, s, func(operator.PlanStep) bool { return true }, func(operator.WaveProgress) bool { return true })
 }
 
-func (b *builder) explain() *cli.Command {
-	return &cli.Command{
-		Name:      "explain",
-		Usage:     "show what a VM or a wave is waiting for",
-		ArgsUsage: "vm|wave NAME",
-		Flags:     sharedFlags(),
-		Action:    b.action(runExplain),
-	}
-}
-
-func runExplain(ctx context.Context, s *session) error {
-	key, err := parseKeyArgs(s.Context)
-	if err != nil {
-		return err
-	}
-	if key.Kind != resource.KindVM && key.Kind != resource.KindWave {
-		return usageErrorf("only a vm or a wave can be explained, not a %s", key.Kind)
-	}
-	if _, err := s.client.Get(ctx, key); err != nil {
-		return err
-	}
-	return printPlan(ctx, s, func(step operator.PlanStep) bool {
-		return key.Kind == resource.KindVM && step.VM == key.Name || key.Kind == resource.KindWave && step.Wave == key.Name
-	}, func(w operator.WaveProgress) bool { return key.Kind == resource.KindWave && w.Name == key.Name })
-}
-
 func printPlan(ctx context.Context, s *session, step func(operator.PlanStep) bool, wave func(operator.WaveProgress) bool) error {
 	plan, err := s.client.Plan(ctx)
 	if err != nil {
--- a/job/explanation.go
+++ b/job/explanation.go
@@ -70,31 +70,24 @@
 }
 
 // Explain says what Submit would answer and where a scheduling pass right after it would place the first step of the job. Without
-// a job, it describes the use of the customer only. It runs the code of a submission and of a pass and then puts everything
-// back, so the pool is the same as before. S must be valid.
-func (p *Pool) Explain(customer string, s *Spec, now Time) Explanation {
-	id := ""
-	if s != nil {
-		id = s.ID
-	}
+// a job, it describes the use of the named customer only, and whether the pool knows the job with an identifier. It runs the code of a submission and of a pass and then puts everything
+// back, so the pool is the same as before. S must be valid and have the identifier.
+func (p *Pool) Explain(id, customer string, s *Spec, now Time) Explanation {
 	defer p.saveForTrial(id).restore(p)
 	p.quota.now = now.Steady
 	out := Explanation{OnTimeBacklogMs: p.backlog.onTime.Milliseconds(), BacklogMs: p.backlog.total.Milliseconds()}
-	if s != nil && s.Customer != "" {
+	if s != nil {
 		customer = s.Customer
 	}
 	if customer != "" {
 		u := p.describeCustomer(customer)
 		out.Customer = &u
 	}
-	if s == nil {
-		return out
-	}
-	if out.Known = p.Knows(s.ID); out.Known {
-		out.State, _ = p.StateOf(s.ID)
-		return out
+	if out.Known = p.Knows(id); out.Known {
+		out.State, _ = p.StateOf(id)
+	} else if s != nil {
+		p.explainNew(&out, s, now)
 	}
-	p.explainNew(&out, s, now)
 	return out
 }
 
--- a/job/explanation_test.go
+++ b/job/explanation_test.go
@@ -120,8 +120,8 @@
 					if compare {
 						before = fingerprint(s.pool)
 					}
-					told = s.pool.Explain("", spec, s.now)
-					s.pool.Explain("nobody", nil, s.now)
+					told = s.pool.Explain(spec.ID, "", spec, s.now)
+					s.pool.Explain("", "nobody", nil, s.now)
 					if compare && fingerprint(s.pool) != before {
 						t.Fatalf("seed %d, job %d: the explanation of %+v changed the pool", seed, n, spec)
 					}
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -169,6 +169,7 @@
 func (d *Daemon) listen(callers *platform.CallerHandler) error {
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET /metrics", d.node.Metrics)
+	admin.Handle("POST /explain", platform.NewExplainHandler(d.node, jobmanager.SystemClock{}))
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /", callers.Readiness)
 	handlers := []struct {
--- a/jobmanager/foreign.go
+++ b/jobmanager/foreign.go
@@ -17,17 +17,22 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonForeignJob, http.StatusForbidden, "the job belongs to another customer")
 }
 
-// isForeign reports whether a call is about a job that its customer may not use, and logs that. Jobs of public routes belong
-// to nobody: calls of public routes and calls of the queue to which they were submitted may use them.
-func (s *shard) isForeign(p *job.Pool, c call) bool {
+// foreignOwner reports whether a call is about a job that its customer may not use, with the customer and the queue of the job.
+// Jobs of public routes belong to nobody: calls of public routes and calls of the queue to which they were submitted may use
+// them.
+func foreignOwner(p *job.Pool, c call) (owner, queue string, foreign bool) {
 	if c.Customer == nil {
-		return false
+		return "", "", false
 	}
 	owner, queue, known := p.CustomerOf(c.ID)
-	switch {
-	case !known || owner == *c.Customer:
-		return false
-	case owner == "" && queue == c.Queue:
+	foreign = known && owner != *c.Customer && (owner != "" || queue != c.Queue)
+	return owner, queue, foreign
+}
+
+// isForeign reports whether a call is about a job that its customer may not use, and logs that.
+func (s *shard) isForeign(p *job.Pool, c call) bool {
+	owner, queue, foreign := foreignOwner(p, c)
+	if !foreign {
 		return false
 	}
 	s.node.metrics.countKey("foreign job")
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -25,6 +25,7 @@
 	typeClaimQueue   = "queue.claim"
 	typeMoveQueue    = "queue.move"
 	typeQuota        = "quota.round"
+	typeExplain      = "job.explain"
 )
 
 const (
@@ -109,6 +110,8 @@
 	Jobs []string `cbor:"9,keyasint,omitempty"`
 	// Quota is the answer to an offer of the allocator of caps.
 	Quota *quota.Report `cbor:"11,keyasint,omitempty"`
+	// Explained is the answer to typeExplain.
+	Explained *OwnerExplanation `cbor:"13,keyasint,omitempty"`
 }
 
 // Submit forwards a job to the owner of the pool of its queue. The error is a *verdict.Error.
@@ -119,6 +122,11 @@
 	if err != nil {
 		return err
 	}
+	return submissionError(r)
+}
+
+// submissionError returns the refusal of a submission, or nil.
+func submissionError(r reply) error {
 	if r.Code == codeRefused {
 		e := verdict.New(verdict.NotRun, verdict.ReasonQueueFull, http.StatusServiceUnavailable,
 			"the pool is overloaded; the job would miss its objective")
@@ -265,6 +273,8 @@
 		return reply{Load: load}
 	case typeQuota:
 		return s.quotaRound(ctx, c)
+	case typeExplain:
+		return s.explain(ctx, c)
 	default:
 		return s.waiting(ctx, c)
 	}
@@ -294,7 +304,7 @@
 
 // handlePeers registers the handlers of calls from other nodes.
 func (n *Node) handlePeers() {
-	for _, kind := range []string{typeSubmit, typeCancel, typeState, typeWaiting, typeFleet, typeClaimQueue, typeMoveQueue, typeQuota} {
+	for _, kind := range []string{typeSubmit, typeCancel, typeState, typeWaiting, typeFleet, typeClaimQueue, typeMoveQueue, typeQuota, typeExplain} {
 		n.peers.Handle(kind, func(ctx context.Context, _ string, body peer.Body) (any, error) {
 			return n.handleCall(ctx, kind, body)
 		})
@@ -315,7 +325,7 @@
 	if err := peer.Decode(body, &c); err != nil {
 		return nil, errors.Wrap(peer.ErrMalformed, err.Error())
 	}
-	if kind == typeSubmit {
+	if kind == typeSubmit || (kind == typeExplain && c.Spec != nil) {
 		if err := checkSubmission(c); err != nil {
 			return nil, errors.Wrap(peer.ErrMalformed, err.Error())
 		}
--- a/jobmanager/queues.go
+++ b/jobmanager/queues.go
@@ -142,33 +142,52 @@
 	queues []*heldQueue
 }
 
-// locate decides where a call for a job that the pool doesn't know is answered. It returns the pool to which the call is
-// redirected, or "" for this one. The error is errNotOwner while the queue is being taken over.
+// location is the decision where a call for a job that the pool doesn't know is answered.
+type location struct {
+	pool string // to which the call is redirected; "" for this one
+	// unheld means that the pool can't answer, because it does not hold the queue; claim, that it is to take the queue over.
+	unheld, claim bool
+	// forget means that the earlier pool that accepted the job has removed it since it ended.
+	forget bool
+}
+
+// decideLocation decides where a call for a job that the pool doesn't know is answered, from what the pool knows about its queue.
 //
 // The version of a call routes the queue to the pool that the call reached first. So a redirected call never makes this
 // pool take the queue over: that version may route the queue to another pool.
-func (s *shard) locate(c call) (pool string, err error) {
-	if c.Address == "" {
-		return "", nil
-	}
-	q := s.queue(c.Pool, c.Address)
+func (q *heldQueue) decideLocation(c call) location {
 	redirected := c.RedirectedBy != ""
 	switch {
 	case q.record.redirects(c.Version), redirected && q.record.moved():
-		return q.record.MovedTo, nil
-	case !q.held && redirected:
-		return "", errNotOwner
+		return location{pool: q.record.MovedTo}
 	case !q.held:
-		s.claimQueue(q, c.Version)
-		return "", errNotOwner
+		return location{unheld: true, claim: !redirected}
 	}
 	elsewhere := q.elsewhere[c.ID]
 	if elsewhere != "" && elsewhere == c.RedirectedBy {
-		// The earlier pool has removed the job since it ended.
-		delete(q.elsewhere, c.ID)
+		return location{forget: true}
+	}
+	return location{pool: elsewhere}
+}
+
+// locate returns the pool to which a call for a job that the pool doesn't know is redirected, or "" for this one. The error is
+// errNotOwner while the queue is being taken over, which the call may cause.
+func (s *shard) locate(c call) (pool string, err error) {
+	if c.Address == "" {
 		return "", nil
 	}
-	return elsewhere, nil
+	q := s.queue(c.Pool, c.Address)
+	l := q.decideLocation(c)
+	if l.claim {
+		s.claimQueue(q, c.Version)
+	}
+	if l.forget {
+		delete(q.elsewhere, c.ID)
+	}
+	if l.unheld {
+		return "", errNotOwner
+	}
+	return l.pool, nil
 }
 
 // earlierPools returns the pools that know jobs of a queue that they accepted earlier than the pool of the call.
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -108,6 +108,7 @@
 	lastCommitAt      time.Duration // start of the last commit
 	lastStepAt        time.Duration
 	lastStepDuration  time.Duration
+	explainAgainAt    time.Duration // explanations are put off until then
 }
 
 func newShard(n *Node, number int) *shard {
