jobmanager: explanations while the store is down and of queues that moved

The explanation of a request for an unknown job did not say that an owner without the store answers 503. It is decided as for a submission now.

--- a/jobmanager/explain.go
+++ b/jobmanager/explain.go
@@ -144,13 +144,13 @@
 		if c.Customer != nil {
 			customer = *c.Customer
 		}
-		if e.Job = p.Explain(c.ID, customer, c.Spec, now); c.Spec != nil {
-			o := outcomeReply(outcome{answer: e.Job.Answer, retry: time.Duration(e.Job.RetryMs) * time.Millisecond})
-			if s.storeUnavailable(now) {
-				o = outcomeReply(s.storeDownOutcome(now))
-			}
-			e.Code, e.RetryMs = o.Code, o.RetryMs
+		e.Job = p.Explain(c.ID, customer, c.Spec, now)
+		o := outcomeReply(outcome{answer: e.Job.Answer, retry: time.Duration(e.Job.RetryMs) * time.Millisecond})
+		// An owner that can't reach the store neither accepts a job nor says that it does not know one.
+		if s.storeUnavailable(now) && (c.Spec != nil || (c.ID != "" && !e.Job.Known)) {
+			o = outcomeReply(s.storeDownOutcome(now))
 		}
+		e.Code, e.RetryMs = o.Code, o.RetryMs
 		r = reply{Explained: e}
 	})
 	return r
