--- a/job/explanation_test.go
+++ b/job/explanation_test.go
@@ -99,7 +99,7 @@
 			var orders [2][]Order
 			for i, s := range []*overloadSim{asked, plain} {
 				if n == 0 {
-					s.pool.SetCustomers(map[string]CustomerLimits{"c": {Cap: Resources{CPU: 60000}}, "free": {}})
+					s.pool.SetCustomers(map[string]CustomerLimits{"c": {Weight: 3, Cap: Resources{CPU: 60000}}, "free": {Weight: 20}})
 					s.pool.SetCaps(1)
 				}
 				if n%10 == 0 {
--- a/job/share.go
+++ b/job/share.go
@@ -225,7 +225,6 @@
 // moveBeyondShareBack moves the occurrences beyond the share behind the others of a class and keeps the order otherwise. It
 // replaces a second sort of the whole queue.
 func (s *shares) moveBeyondShareBack(q []queueEntry) {
-	s.scratch = s.scratch[:0]
 	within := 0
 	for i := range q {
 		if q[i].beyondShare {
@@ -237,6 +236,7 @@
 	}
 	copy(q[within:], s.scratch)
 	clear(s.scratch)
+	s.scratch = s.scratch[:0]
 }
 
 // remarkShares marks the shares again after occurrences were moved to another precedence class. Those that were moved behind
--- a/job/trial.go
+++ b/job/trial.go
@@ -36,6 +36,7 @@
 	tasks       savedValues[task]
 	workers     savedValues[worker]
 	uses        savedValues[customerUse]
+	parties     savedValues[party]
 	advice      savedValues[advice]
 	kinds       func()
 }
@@ -52,6 +53,9 @@
 	for _, u := range p.quota.uses {
 		s.uses.save(u)
 	}
+	for _, c := range p.shares.parties {
+		s.parties.save(c)
+	}
 	for _, a := range p.advice {
 		c := s.advice.save(a)
 		c.asked, c.tickets, c.requested = maps.Clone(a.asked), maps.Clone(a.tickets), maps.Clone(a.requested)
@@ -88,6 +92,7 @@
 	s.tasks.restore()
 	s.workers.restore()
 	s.uses.restore()
+	s.parties.restore()
 	s.advice.restore()
 	s.kinds()
 }
--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -185,7 +185,7 @@
 	}{
 		{"callers", d.settings.Callers, callers, true},
 		{"readiness", d.settings.Readiness, readiness, false},
-		{"admin", d.settings.Admin, admin, false},
+		{"admin", d.settings.Admin, admin, true},
 	}
 	for _, h := range handlers {
 		l, err := net.Listen("tcp", h.addr)
