soak: caps of tenants in two pools, lowered and raised with faults of owners

The soak had no caps and one pool, so nothing on processes checked that the caps hold over pools while owners and the allocator change.

With -caps half of the workers are in a second pool with its own queue, each tenant has a cap, and four versions lower and raise the caps, each with two nodes killed, paused or cut off.

--- a/cmd/berylwharf-soak/main.go
+++ b/cmd/berylwharf-soak/main.go
@@ -23,6 +23,7 @@
 			&cli.Uint64Flag{Name: "first", Usage: "first seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.BoolFlag{Name: "restart-cuts", Usage: "restart workers silently and cut them off within seconds, in place of random faults"},
+			&cli.BoolFlag{Name: "caps", Usage: "lower and raise the caps of tenants in two pools, with faults of owners besides the random ones"},
 			&cli.IntFlag{Name: "parallel", Usage: "number of concurrent runs", Value: 2},
 		},
 		Action: run,
@@ -76,13 +77,18 @@
 		return false
 	}
 	defer func() { _ = out.Close() }()
-	res, err := soak.Run(soak.Options{Binary: c.String("bin"), Dir: dir, Seed: seed, RestartCuts: c.Bool("restart-cuts"), Out: out})
+	res, err := soak.Run(soak.Options{
+		Binary: c.String("bin"), Dir: dir, Seed: seed, RestartCuts: c.Bool("restart-cuts"), Caps: c.Bool("caps"), Out: out,
+	})
 	if err != nil {
 		fmt.Printf("seed %d: run failed: %v\n", seed, err)
 		return false
 	}
 	fmt.Printf("seed %d: %d faults, %d jobs, %d accepted, %d runs, %d invariants violated\n",
 		seed, res.Faults, res.Jobs, res.Accepted, res.Runs, len(res.Violations))
+	if c.Bool("caps") {
+		fmt.Printf("  at most %d%% of a cap in use\n", res.CapUse)
+	}
 	for _, v := range res.Violations {
 		fmt.Printf("  %s\n", v)
 	}
