job: usual terms and shorter comments for shares

The type of a customer with a weight was named party, and three different things were named spare: the backlog beyond the rates, a job beyond its rate, and the time that jobs can still wait.

Renaming party to customer was ruled out, because the jobs without a weighted customer form one, too. Exported names, events and stored records are unchanged.

party is now tenant, and spare is overRateBacklog, overRate or slack. The comments state the rule and the reason. One message of a test follows the rename.

--- a/job/inherited.go
+++ b/job/inherited.go
@@ -2,8 +2,9 @@
 
 import "github.com/berylwharf/berylwharf/quota"
 
-// countInherited counts the tasks that an earlier owner may have running on workers that have not reported to this owner. A task
-// starts only after its job is stored, so these are tasks of loaded jobs, and they fit on those workers.
+// countInherited counts, for each customer, the tasks that an earlier owner may have running on workers that have not reported to
+// this owner. A task starts only after its job is stored, so all of them belong to loaded jobs. They occupy at most the capacity
+// of those workers.
 func (p *Pool) countInherited(now Time) {
 	if p.quota.inheritedOver {
 		return
@@ -30,8 +31,8 @@
 	}
 }
 
-// mayRunElsewhere returns the most that an earlier owner may have running of an occurrence: the tasks of the steps that are ready, or
-// those of a step that became ready by ends that this owner does not know.
+// mayRunElsewhere returns an upper bound of what an earlier owner may have running of an occurrence: the tasks of the ready
+// steps, or those of a later step, which may have become ready by run ends that this owner does not know.
 func (o *occurrence) mayRunElsewhere() quota.Amount {
 	var ready, later quota.Amount
 	for i, tasks := range o.steps {
--- a/job/overload.go
+++ b/job/overload.go
@@ -25,7 +25,7 @@
 	if s.longRunning() || s.Occurrences > 0 {
 		return admission{}
 	}
-	if c := p.shares.parties[s.Customer]; c != nil {
+	if c := p.shares.tenants[s.Customer]; c != nil {
 		return p.checkShare(c, s, now)
 	}
 	work := p.work(s, p.capacity())
--- a/job/pool.go
+++ b/job/pool.go
@@ -150,11 +150,11 @@
 	dirtySpec       bool
 	dirtyProgress   bool
 	removed         bool // to be deleted from the store
-	spare           bool // submitted beyond the rate of its customer
-	// party is that of the job in the given generation of the weights.
-	party           *party
-	partyGeneration int64
-	committing      bool // part of the outstanding commit
+	overRate        bool // submitted beyond the rate of its customer
+	// tenant is cached by shares.of; it is valid while tenantGeneration is the generation of the shares.
+	tenant           *tenant
+	tenantGeneration int64
+	committing       bool // part of the outstanding commit
 }
 
 // New returns an empty pool.
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -20,8 +20,8 @@
 	precedenceExpiring
 	precedenceOnTime
 	precedenceLate
-	// precedenceSpare is for jobs beyond the rate of their customer that can still meet their objective.
-	precedenceSpare
+	// precedenceOverRate is for jobs beyond the rate of their customer that can still meet their objective.
+	precedenceOverRate
 	// precedenceExpired is for jobs whose result is no longer of use to the caller. They are still run.
 	precedenceExpired
 )
@@ -40,9 +40,9 @@
 	precedence            precedence
 	latestStart           time.Duration // latest start of the remaining work that meets the objective
 	remainingCriticalPath time.Duration
-	party                 *party    // nil for long-running jobs and without weighted customers
-	beyondShare           bool      // of its party
-	request               Resources // of the tasks that could start now, if it has a party
+	tenant                *tenant   // nil for long-running jobs, and for all jobs if no customer has a weight
+	beyondShare           bool      // of its tenant
+	request               Resources // of the tasks that could start now, if it has a tenant
 }
 
 // schedule starts pending tasks where there is free capacity.
@@ -80,22 +80,22 @@
 	running := p.runningWork(capacity)
 	p.countShares(q)
 	p.markShares(q)
-	spare, changed := p.demoteLate(q, running, capacity, now)
-	if p.demoteExpiring(q, spare) || changed {
+	slack, changed := p.demoteLate(q, running, capacity, now)
+	if p.demoteExpiring(q, slack) || changed {
 		p.remarkShares(q)
 	}
 	return q
 }
 
-// demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them, which at
-// first is that of the running tasks. It returns how long all jobs that can be on time could wait longer, and whether it moved any occurrence.
+// demoteLate moves occurrences behind the others that would miss their objective because of the work ahead of them. Ahead is the
+// work of the running tasks. It returns how much longer all jobs that can be on time could wait, and whether it moved any.
 //
 // This keeps overload from making every job late: in deadline order alone, each job would start just when it can no
 // longer complete in time.
-func (p *Pool) demoteLate(q []queueEntry, ahead time.Duration, capacity Resources, now Time) (spare time.Duration, found bool) {
+func (p *Pool) demoteLate(q []queueEntry, ahead time.Duration, capacity Resources, now Time) (slack time.Duration, found bool) {
 	p.beginQuotaBudgets(true)
 	total := ahead
-	spare = expiryWindow
+	slack = expiryWindow
 	for i := range q {
 		w := &q[i]
 		if w.precedence == precedenceLongRunning {
@@ -104,9 +104,9 @@
 		work := p.pendingWork(w, capacity)
 		total += work
 		onTime := w.precedence == precedenceOnTime && ahead <= w.latestStart-now.Steady && p.onTimeAtShare(w, now)
-		w.party.addWork(work, onTime)
-		if w.precedence == precedenceSpare {
-			p.shares.spare += work
+		w.tenant.addWork(work, onTime)
+		if w.precedence == precedenceOverRate {
+			p.shares.overRateBacklog += work
 		}
 		if w.precedence != precedenceOnTime {
 			continue
@@ -116,11 +116,11 @@
 			found = true
 			continue
 		}
-		spare = min(spare, w.latestStart-now.Steady-ahead)
+		slack = min(slack, w.latestStart-now.Steady-ahead)
 		ahead += work
 	}
 	p.backlog = backlog{onTime: ahead, total: total}
-	return spare, found
+	return slack, found
 }
 
 // demoteExpiring moves expiring occurrences behind those that can be on time, except for as much work as these can wait
@@ -128,7 +128,7 @@
 //
 // In a long peak, every late job expires sooner or later. If all of them went first, they would take the whole capacity
 // and make the new jobs late, which would then expire in turn.
-func (p *Pool) demoteExpiring(q []queueEntry, spare time.Duration) bool {
+func (p *Pool) demoteExpiring(q []queueEntry, slack time.Duration) bool {
 	p.beginQuotaBudgets(true)
 	capacity := p.capacity()
 	found := false
@@ -137,8 +137,8 @@
 		if w.precedence != precedenceExpiring {
 			continue
 		}
-		spare -= p.pendingWork(w, capacity)
-		if spare < 0 {
+		slack -= p.pendingWork(w, capacity)
+		if slack < 0 {
 			w.precedence = precedenceLate
 			found = true
 		}
@@ -147,7 +147,7 @@
 }
 
 // runningWork returns the time that the pool needs for half of the work of the running tasks, an estimate of what is
-// left of it. It counts them for their parties.
+// left of it, and counts the runs for their tenants.
 func (p *Pool) runningWork(capacity Resources) time.Duration {
 	var total time.Duration
 	for _, w := range p.workers {
@@ -206,9 +206,9 @@
 	case now.Steady > w.latestStart:
 		w.precedence = precedenceLate
 	}
-	if j.spare && w.precedence > precedenceStarving {
-		// Nothing is owed for a job beyond the rate once it is late.
-		w.precedence = precedenceSpare
+	if j.overRate && w.precedence > precedenceStarving {
+		// A job beyond the rate that is late is treated as expired, so that it is not placed ahead of jobs within the rates.
+		w.precedence = precedenceOverRate
 		if now.Steady > w.latestStart {
 			w.precedence = precedenceExpired
 		}
--- a/job/share_test.go
+++ b/job/share_test.go
@@ -148,9 +148,9 @@
 	}
 }
 
-// TestBursts guards against bursts that starve each other, the largest tenth of a queue or the next fifth, and against peaks in
-// turn that leave the pool idle. In the former, one customer sends jobs of three sizes, another urgent ones, and a third as usual.
-// Without weights 0.09 to 0.25 of most sizes of the first one's jobs and 0.3 to 0.4 of the third one's were on time.
+// TestBursts guards against bursts that starve each other, the largest tenth of a queue or the next fifth, and against peaks
+// in turn that leave the pool idle. In the former, one customer sends jobs of three sizes, another urgent ones, and a third as
+// usual. Without weights 0.09 to 0.25 of most sizes of the first one's jobs and 0.3 to 0.4 of the third one's were on time.
 func TestBursts(t *testing.T) {
 	for _, large := range []Step{{Count: 40}, {Count: 2, Request: Resources{CPU: 40000}}, {Count: 16, Gang: true}, {Count: 4, Estimate: 4 * time.Second}} {
 		streams := []*stream{
@@ -185,8 +185,8 @@
 	}
 }
 
-// TestAdmissionAtShare guards against a rate that refuses jobs while the pool is idle, against tokens that frequent versions of the
-// configuration renew, and against refusals that an operator cannot explain.
+// TestAdmissionAtShare guards against a rate that refuses jobs while the pool is idle, against tokens that frequent versions
+// of the configuration renew, and against refusals that an operator cannot explain.
 func TestAdmissionAtShare(t *testing.T) {
 	s := newOverloadSim(1)
 	spec := Spec{Customer: "a", Steps: []Step{{Count: 1, Request: Resources{CPU: 8000, MemMB: 8000}, Estimate: time.Second}}}
@@ -200,8 +200,8 @@
 			t.Errorf("job %d is refused for %v", i, wait)
 		case answer == Refused && !strings.Contains(events[0].Reason, `"a" of configuration 17: share 1.0000`):
 			t.Errorf("job %d is refused with the reason %s", i, events[0].Reason)
-		case answer != Refused && j.spare != (i >= 2):
-			t.Errorf("job %d: spare %v, want the first two within the rate", i, j.spare)
+		case answer != Refused && j.overRate != (i >= 2):
+			t.Errorf("job %d: over rate %v, want the first two within the rate", i, j.overRate)
 		}
 	}
 	spec.Customer = "b"
--- a/job/submit.go
+++ b/job/submit.go
@@ -52,7 +52,7 @@
 		return Refused, a.wait
 	}
 	j := &jobState{
-		spec: s, phase: Active, storedPhase: Active, acceptedAt: now.Steady, dirtySpec: true, spare: a.spare,
+		spec: s, phase: Active, storedPhase: Active, acceptedAt: now.Steady, dirtySpec: true, overRate: a.overRate,
 		occurrences: make(map[int]*occurrence),
 	}
 	p.jobs[s.ID] = j
--- a/job/trial.go
+++ b/job/trial.go
@@ -36,7 +36,7 @@
 	tasks       savedValues[task]
 	workers     savedValues[worker]
 	uses        savedValues[customerUse]
-	parties     savedValues[party]
+	tenants     savedValues[tenant]
 	advice      savedValues[advice]
 	kinds       func()
 }
@@ -53,8 +53,8 @@
 	for _, u := range p.quota.uses {
 		s.uses.save(u)
 	}
-	for _, c := range p.shares.parties {
-		s.parties.save(c)
+	for _, c := range p.shares.tenants {
+		s.tenants.save(c)
 	}
 	for _, a := range p.advice {
 		c := s.advice.save(a)
@@ -92,7 +92,7 @@
 	s.tasks.restore()
 	s.workers.restore()
 	s.uses.restore()
-	s.parties.restore()
+	s.tenants.restore()
 	s.advice.restore()
 	s.kinds()
 }
