--- a/interference/estimator.go
+++ b/interference/estimator.go
@@ -1,9 +1,9 @@
 // Package interference estimates how much best-effort tasks lengthen the tail latency of latency-critical tasks on the same
 // worker.
 //
-// An Estimator performs no I/O. The caller steps it with the figures that workers report (Observe) and reads the effect of
-// a pair of kinds (Effect). The current time is an argument; it is the time since an arbitrary origin and must not go back. An Estimator is not safe for
-// concurrent use.
+// An Estimator performs no I/O. The caller steps it with the figures that workers report (Observe) and reads the effect of a
+// pair of kinds (Effect). The current time is an argument; it is the time since an arbitrary origin and must not go back. An
+// Estimator is not safe for concurrent use.
 //
 // The model is, with the tail latency as a fraction of its target (the ratio) and speeds from 0 to 1:
 //
--- a/job/explanation.go
+++ b/job/explanation.go
@@ -69,9 +69,9 @@
 	Tasks  int    `cbor:"2,keyasint" json:"tasks"`
 }
 
-// Explain says what Submit would answer and where a scheduling pass right after it would place the first step of the job. Without
-// a job, it describes the use of the named customer only, and whether the pool knows the job with an identifier. It runs the code of a submission and of a pass and then puts everything
-// back, so the pool is the same as before. S must be valid and have the identifier.
+// Explain says what Submit would answer and where a scheduling pass right after it would place the first step of the job. If s
+// is nil, it describes only the use of the named customer, and whether the pool knows the job with the identifier. It runs a
+// submission and a pass and then restores the state of the pool. S must be valid and have the identifier.
 func (p *Pool) Explain(id, customer string, s *Spec, now Time) Explanation {
 	defer p.saveForTrial(id).restore(p)
 	p.quota.now = now.Steady
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -27,9 +27,9 @@
 	Run       int
 	Worker    string
 	Shard     int
-	// Epoch is the epoch of the shard. In the event "node: shards assigned" it is the generation of the group, in the
-	// events "config: ...", "queue: ..." and "keys: ..." the version of the configuration, and in the events about waves and machines the number of
-	// the wave.
+	// Epoch is the epoch of the shard. In the event "node: shards assigned" it is the generation of the group, in the events
+	// "config: ...", "queue: ..." and "keys: ..." the version of the configuration, and in the events about waves and machines
+	// the number of the wave.
 	Epoch  int64
 	Reason string // written under the key "why"
 	// AgeMs is a duration in milliseconds:
