quota, job: clearer comments and names for grants

Some names were private words (patience, giveWay, givesWay, spare, holder, holdPeriod), and some comments left out the reason of a number (Hold, maxReportAge, yieldPeriod) or had to be read twice (renew, counted, Grants).

Renaming exported or encoded names was ruled out, also where another word would be better (Give, HeldUp, Wait), and so was any change to the order of division.

Unexported identifiers have usual names (yieldAfter, yieldUntil, yields, reserveForLongestWait, unclaimedPart, recipients, heldUpJob, yieldDuration), and the comments state rule and reason.

--- a/job/quota.go
+++ b/job/quota.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// holdPeriod is how long a held-up unit keeps later tasks of its customer waiting after it was last reported. It covers some
-	// rounds of the allocator.
-	holdPeriod = 700 * time.Millisecond
+	// yieldDuration is how long other jobs of a customer yield to a held-up unit after it was last reported. It covers several
+	// rounds of the allocator, so that one lost call does not end it.
+	yieldDuration = 700 * time.Millisecond
 	// quotaEventInterval is the minimum time between events about one customer.
 	quotaEventInterval = 5 * time.Second
-	// firstReportTime is the time after a takeover by which the workers that answer have reported once.
+	// firstReportTime is the time after a takeover by which all workers that answer have reported once.
 	firstReportTime = 500 * time.Millisecond
 )
 
@@ -27,7 +27,7 @@
 	limited bool
 	now     time.Duration // time of the current pass
 	uses    map[string]*customerUse
-	known   bool // what this owner counts contains all runs of earlier owners
+	known   bool // this owner counts all runs of earlier owners; see knowsAllRuns
 	// budgetPass identifies the budgets of the current pass, which begin with the whole grant or with what is left of it.
 	budgetPass  int
 	budgetWhole bool
@@ -42,10 +42,10 @@
 	late quota.Amount // of earlier starts that a later incarnation of a worker may carry out
 	// inherited is of tasks that an earlier owner may have running on workers that have not reported to this one.
 	inherited quota.Amount
-	// holder is a job whose next unit does not fit in the grant; until heldUntil, the customer's other jobs start nothing.
-	holder    string
+	// heldUpJob is a job whose next unit does not fit in the grant. Until heldUntil, the customer's other jobs start nothing.
+	heldUpJob string
 	heldUntil time.Duration
-	// budget is the part of the grant that the work counted so far in a pass leaves.
+	// budget is what the work counted so far in a pass leaves of the grant.
 	budget     quota.Amount
 	budgetPass int
 	eventAt    time.Duration // of the last event that the customer is held up
@@ -150,16 +150,16 @@
 	if !limited {
 		return math.MaxInt
 	}
-	if p.givesWay(s) {
+	if p.yields(s) {
 		return 0
 	}
 	return free.Units(quotaUnit(step))
 }
 
-// givesWay reports whether a job starts nothing because another job of the customer waits for room in the grant.
-func (p *Pool) givesWay(s *Spec) bool {
+// yields reports whether a job must start nothing because another job of the customer waits for room in the grant.
+func (p *Pool) yields(s *Spec) bool {
 	u := p.customerUse(s.Customer)
-	return u.holder != "" && u.holder != s.ID && p.quota.now < u.heldUntil
+	return u.heldUpJob != "" && u.heldUpJob != s.ID && p.quota.now < u.heldUntil
 }
 
 // quotaPassesOver reports whether the grant of the customer leaves no room for any unfinished step of an occurrence.
@@ -168,7 +168,7 @@
 	if !limited {
 		return false
 	}
-	if p.givesWay(j.spec) {
+	if p.yields(j.spec) {
 		return true
 	}
 	for i := range j.spec.Steps {
@@ -193,15 +193,15 @@
 	return true
 }
 
-// beginQuotaBudgets begins a count of waiting work. For each customer, quotaClamp counts work up to the whole grant, or up to
-// what is left of it.
+// beginQuotaBudgets begins a count of waiting work. For each customer, quotaClamp then counts work up to the whole grant or,
+// if whole is false, up to what the customer's runs leave of it.
 func (p *Pool) beginQuotaBudgets(whole bool) {
 	p.quota.budgetPass++
 	p.quota.budgetWhole = whole
 }
 
-// quotaClamp returns how many of n waiting tasks of a step count as work for the pool: those that the grant leaves room for
-// after the work that was counted before.
+// quotaClamp returns how many of n waiting tasks of a step count as work for the pool: those for which the work counted before
+// leaves room in the grant.
 func (p *Pool) quotaClamp(s *Spec, step *Step, n int) int {
 	grant, limited := p.quotaGrant(s.Customer)
 	if !limited || n == 0 {
@@ -240,7 +240,7 @@
 	return false
 }
 
-// describeQuota returns the customer, the version of the configuration, its cap, the grant and its age, and what it has running.
+// describeQuota returns the cap, grant and use of a customer for events.
 func (p *Pool) describeQuota(customer string) string {
 	l := p.quota.ledger
 	epoch, number, age := l.Identity(p.quota.now)
@@ -254,7 +254,7 @@
 		customer, p.quota.version, l.Version(), limit, epoch, number, grant, age.Milliseconds(), u.used, u.late, u.inherited)
 }
 
-// explainQuota returns why the grant of its customer keeps a task waiting, or "" if it does not.
+// explainQuota returns why the grant of the customer holds a task up, or "" if it does not.
 func (p *Pool) explainQuota(t *task) string {
 	if p.quotaRoom(t.job.spec, t.step) > 0 {
 		return ""
@@ -310,7 +310,7 @@
 		}
 		free, limited := p.quotaFree(j.spec.Customer)
 		if !limited {
-			continue // nobody needs to know what waits
+			continue // the allocator needs the waiting work of customers with a cap only
 		}
 		for _, o := range j.occurrences {
 			entry := p.rank(j, o, now)
@@ -324,7 +324,7 @@
 		u := out[customer]
 		u.Unit, u.Wait, u.HeldUp = quotaUnit(h.task.step), now.Steady-h.task.readySince, h.heldUp
 		out[customer] = u
-		p.holdUp(customer, h.task, u, now)
+		p.recordHeldUp(customer, h.task, u, now)
 	}
 	return out
 }
@@ -346,11 +346,11 @@
 	return c < 0 || (c == 0 && h.task.id.Step < o.task.id.Step)
 }
 
-// addQuotaWaiting adds n waiting tasks of a step to what is reported.
+// addQuotaWaiting adds n waiting tasks of a step to the reported uses.
 func (p *Pool) addQuotaWaiting(out map[string]quota.Use, heads map[string]queueHead, h queueHead, n int) {
 	customer := h.task.job.spec.Customer
 	if limit, ok := p.quota.caps[customer]; ok && !quotaUnit(h.task.step).Fits(limit) {
-		return // it waits for a greater cap
+		return // no grant within the cap has room for it
 	}
 	u := out[customer]
 	u.Waiting = u.Waiting.Add(quotaAmount(h.task.step.Request).Times(n))
@@ -360,16 +360,16 @@
 	}
 }
 
-// holdUp logs that the grant keeps a customer's work waiting, and makes the customer's other jobs give way to a unit that has
-// waited for long.
-func (p *Pool) holdUp(customer string, t *task, u quota.Use, now Time) {
+// recordHeldUp logs that the grant holds up a customer's work, and makes the customer's other jobs yield to a unit that has
+// waited too long (see quota.Yielding).
+func (p *Pool) recordHeldUp(customer string, t *task, u quota.Use, now Time) {
 	c := p.customerUse(customer)
-	c.holder = ""
+	c.heldUpJob = ""
 	if !u.HeldUp {
 		return
 	}
 	if quota.Yielding(u.Wait) {
-		c.holder, c.heldUntil = t.id.Job, now.Steady+holdPeriod
+		c.heldUpJob, c.heldUntil = t.id.Job, now.Steady+yieldDuration
 	}
 	if c.eventAt == 0 || now.Steady-c.eventAt > quotaEventInterval {
 		c.eventAt = now.Steady
@@ -377,7 +377,8 @@
 	}
 }
 
-// recordUnansweredSize keeps the size of an unanswered start, because its job may have ended when it is carried out.
+// recordUnansweredSize records the customer and the size of an unanswered start, because its job may have ended by the time the
+// worker carries it out.
 func (p *Pool) recordUnansweredSize(w *worker, o Order) {
 	s, ok := w.unanswered[o.Task]
 	if t := p.task(o.Task); ok && t != nil {
@@ -386,8 +387,8 @@
 	}
 }
 
-// chargeLateStarts counts the starts that an incarnation of a worker may still carry out although they were sent to an earlier
-// one, and their runs are therefore known to have ended.
+// chargeLateStarts counts the unanswered starts that were sent to an earlier incarnation of a worker and that the present one may
+// still carry out. Their runs count as ended otherwise.
 func (p *Pool) chargeLateStarts(w *worker) {
 	p.dischargeLateStarts(w)
 	for id, s := range w.unanswered {
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -9,35 +9,37 @@
 )
 
 const (
-	// Hold is how long an offer holds after the report that it answers. The loss of an owner takes about 2 s.
+	// Hold is how long an offer holds after the report that it answers. The replacement of a lost owner takes about 2 s, during
+	// which pools must be able to go on starting tasks.
 	Hold = 5 * time.Second
-	// driftFactor covers clocks that differ by up to 2%, with a margin.
+	// driftFactor covers clocks whose rates differ by up to 2%, with a margin.
 	driftFactor = 1.03
-	// maxReportAge is the age of the newest report of a pool from which its grants stay as they are. A round takes 200 ms.
+	// maxReportAge is the age of a pool's newest report from which its grants are no longer changed. Rounds begin every 200 ms, so
+	// a few of them may fail.
 	maxReportAge = time.Second
 )
 
-// ErrReplaced means that a pool knows a later allocator.
+// ErrReplaced is returned if a pool knows a later allocator.
 var ErrReplaced = errors.New("a pool knows a later allocator")
 
 // Allocator divides the caps of the customers. It is not safe for concurrent use.
 type Allocator struct {
 	epoch, number int64
-	// membership is how long an owner that was replaced may go on without knowing it.
+	// membership is how long a replaced owner may continue before it notices.
 	membership time.Duration
 	// settledAt is when the earlier allocator has certainly ended, and waitUntil when its grants have certainly lapsed.
 	settledAt, waitUntil time.Duration
-	learned              bool
+	learned              bool // see Learned
 	pools                map[string]*poolState
-	heldUp               int
-	scratch              []claimant
+	heldUp               int        // see HeldUp
+	scratch              []claimant // reused by divide
 }
 
 // poolState is what the allocator knows about a pool.
 type poolState struct {
 	answered bool // has reported to this allocator
 	settled  bool // an owner has answered that was not replaced before the earlier allocator had ended
-	known    bool // the owner knows all runs
+	known    bool // the owner knows all runs of earlier owners
 	owner    int64
 	clock    time.Duration // of the owner, in its newest report
 	heardAt  time.Duration // when that report arrived
@@ -45,16 +47,16 @@
 	// offered is the greatest of the offers since, and including, the last one that the pool confirmed.
 	offered map[string]Amount
 	last    map[string]Amount // the newest offer
-	number  int64             // of the newest offer that gives; 0 without one
+	number  int64             // of the newest offer with grants; 0 without one
 	// confirmed means that the pool has confirmed the newest offer, and version is that of its configuration.
 	confirmed bool
 	version   int64
-	// extra is what was counted for earlier owners. It counts until the owner knows all runs.
+	// extra is what was counted for earlier owners. It counts until the owner knows all their runs.
 	extra map[string]Amount
 }
 
-// New returns an allocator that begins now. An owner that was replaced, of the allocator's shard or of a pool, may go on for
-// the time of a membership.
+// New returns an allocator that begins now. Membership is how long a replaced owner, of the allocator's shard or of a pool, may
+// continue before it notices.
 func New(epoch int64, membership, now time.Duration) *Allocator {
 	membership = time.Duration(float64(membership) * driftFactor)
 	a := &Allocator{epoch: epoch, membership: membership, pools: make(map[string]*poolState)}
@@ -62,14 +64,15 @@
 	return a
 }
 
-// Reset forgets what the pools reported. It is called when there are caps again after a time without any.
+// Reset discards what the pools reported. It must be called when there are caps again after a time without any, because the pools
+// may have started anything meanwhile.
 func (a *Allocator) Reset(now time.Duration) {
 	clear(a.pools)
 	a.learned = false
 	a.settle(now)
 }
 
-// Settle records that the earlier allocator has ended.
+// Settle records that the earlier allocator has certainly ended.
 func (a *Allocator) Settle(now time.Duration) {
 	if now < a.settledAt {
 		a.settle(now)
@@ -80,13 +83,13 @@
 	a.settledAt, a.waitUntil = at, at+time.Duration(float64(Hold)*driftFactor)
 }
 
-// SkipLearning records that there never was an earlier allocator.
+// SkipLearning records that there was no earlier allocator.
 func (a *Allocator) SkipLearning() { a.learned = true }
 
 // Learned reports whether the allocator divides the caps. Before, it only renews the grants that the pools have.
 func (a *Allocator) Learned() bool { return a.learned }
 
-// HeldUp returns how many customers had work that waited for a grant at the last round, summed over the pools.
+// HeldUp returns the number of pairs of a pool and a customer whose work waited for a grant in the last round.
 func (a *Allocator) HeldUp() int { return a.heldUp }
 
 // Unanswered returns how many of the pools have not reported lately.
@@ -102,8 +105,8 @@
 
 func (s *poolState) live(now time.Duration) bool { return s.answered && now-s.heardAt < maxReportAge }
 
-// counted returns what a customer may have running in the pool. An owner that does not know all runs may have started what it
-// reports in addition to them.
+// counted returns what a customer may have running in the pool. What was counted for earlier owners is added, because the present
+// owner does not report the runs that it does not know.
 func (s *poolState) counted(customer string) Amount {
 	return s.offered[customer].Max(s.uses[customer].Used).Add(s.extra[customer])
 }
@@ -121,33 +124,33 @@
 	return s.known || len(s.extra) == 0
 }
 
-// Round returns the offer to send to each pool. The pools are those to which routes lead or that may have jobs; further pools
-// are asked while something may run there. Caps hold the limits (see Limits) of the customers that have any.
+// Round returns the offer to send to each pool. Pools are those to which routes lead or that may have jobs; pools that were named
+// earlier get offers while something may run there. Caps holds the limits (see Limits) of the customers with a cap.
 func (a *Allocator) Round(pools []string, caps map[string]Amount, version int64, now time.Duration) map[string]Offer {
 	a.updatePools(pools, now)
 	a.learned = a.learned || a.hasLearned(now)
 	a.number++
 	a.heldUp = 0
 	offers := make(map[string]Offer, len(a.pools))
-	var given []recipient
+	var recipients []recipient
 	for _, name := range slices.Sorted(maps.Keys(a.pools)) {
 		s := a.pools[name]
 		o := Offer{Epoch: a.epoch, Number: a.number, Version: version, Owner: s.owner, Clock: s.clock, Hold: Hold}
 		if s.answered {
 			o.Give = true
 			o.Grants = make(map[string]Amount, len(caps))
-			given = append(given, recipient{name: name, pool: s, grants: o.Grants})
+			recipients = append(recipients, recipient{name: name, pool: s, grants: o.Grants})
 		}
 		offers[name] = o
 	}
 	for customer, limit := range caps {
 		if a.learned {
-			a.divide(customer, limit, given, now)
+			a.divide(customer, limit, recipients, now)
 		} else {
-			renew(customer, limit, given)
+			renew(customer, limit, recipients)
 		}
 	}
-	for _, r := range given {
+	for _, r := range recipients {
 		if base, changes := r.pool.changes(version, r.grants); base != 0 {
 			o := offers[r.name]
 			o.Base, o.Grants = base, changes
@@ -180,9 +183,9 @@
 	}
 }
 
-// hasLearned reports whether each pool knows its runs and has answered when the earlier allocator could no longer give a grant
-// to another owner of the pool. Pools that do not answer are not awaited after the grants of the earlier allocator have
-// lapsed.
+// hasLearned reports whether each pool knows its runs and has answered at a time when the earlier allocator could no longer
+// give another owner of the pool a grant. Once the grants of the earlier allocator have lapsed, pools that do not answer are
+// not awaited.
 func (a *Allocator) hasLearned(now time.Duration) bool {
 	for _, s := range a.pools {
 		if now >= a.waitUntil && !s.live(now) {
@@ -195,18 +198,18 @@
 	return now >= a.settledAt
 }
 
-// renew adds the grants that the pools have from the earlier allocator. That one counts them until it hears from the pool, and
-// then it learns that it was replaced.
-func renew(customer string, limit Amount, given []recipient) {
-	for _, r := range given {
+// renew repeats the grants that the pools have from the earlier allocator. This is safe even if that one still runs: it counts
+// these grants until it hears from the pool, which tells it that it was replaced.
+func renew(customer string, limit Amount, recipients []recipient) {
+	for _, r := range recipients {
 		r.grants[customer] = r.pool.offered[customer].Min(limit)
 	}
 }
 
 // divide adds the grants of a customer to those of the pools.
-func (a *Allocator) divide(customer string, limit Amount, given []recipient, now time.Duration) {
+func (a *Allocator) divide(customer string, limit Amount, recipients []recipient, now time.Duration) {
 	a.scratch = a.scratch[:0]
-	for _, r := range given {
+	for _, r := range recipients {
 		s := r.pool
 		c := claimant{
 			grants: r.grants, use: s.uses[customer], live: s.live(now), extra: s.extra[customer], counted: s.counted(customer), last: s.last[customer],
@@ -222,8 +225,8 @@
 	}
 }
 
-// changes returns the grants that differ from the newest offer, and its number; 0 if that one is not confirmed or may name other
-// customers.
+// changes returns the grants that differ from the newest offer, and the number of that offer. The number is 0 if the pool has not
+// confirmed the offer or the offer may name other customers.
 func (s *poolState) changes(version int64, grants map[string]Amount) (base int64, changed map[string]Amount) {
 	if !s.confirmed || s.version != version {
 		return 0, nil
@@ -237,7 +240,7 @@
 	return s.number, changed
 }
 
-// record records an offer that is about to be sent, whether or not it arrives.
+// record records an offer that is about to be sent. It counts whether or not it arrives.
 func (s *poolState) record(number, version int64, grants map[string]Amount) {
 	s.number, s.version, s.last, s.confirmed = number, version, grants, false
 	if s.offered == nil {
@@ -248,7 +251,7 @@
 	}
 }
 
-// Report applies the report of a pool to a call that began at sentAt. It returns ErrReplaced if this allocator must end.
+// Report applies a pool's report, the answer to a call that began at sentAt. It returns ErrReplaced if this allocator must end.
 func (a *Allocator) Report(pool string, r Report, sentAt, now time.Duration) error {
 	if r.Epoch > a.epoch {
 		return ErrReplaced
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -7,18 +7,18 @@
 )
 
 const (
-	// patience is how long a unit may wait for room in the grant before other work of the customer gives way to it.
-	patience = time.Second
-	// yieldPeriod is the period in which other work gives way until the end of yieldEnd. A unit may be too large for what the
-	// customer's long-running tasks leave, so the others must get their turn within 3 s.
+	// Other work of a customer yields to a unit that waits for room in the grant from yieldAfter to yieldUntil in each yieldPeriod
+	// of its wait. It does not yield all the time, because the unit may be too large for what the customer's long-running tasks
+	// leave, and then the other work would never start.
+	yieldAfter  = time.Second
+	yieldUntil  = 3 * time.Second
 	yieldPeriod = 4 * time.Second
-	yieldEnd    = 3 * time.Second
 )
 
-// Yielding reports whether other work of a customer gives way to a unit that has waited for room in the grant.
+// Yielding reports whether other work of a customer yields to a unit that has waited the given time for room in the grant.
 func Yielding(wait time.Duration) bool {
 	wait %= yieldPeriod
-	return wait >= patience && wait < yieldEnd
+	return wait >= yieldAfter && wait < yieldUntil
 }
 
 // claimant is one pool in the division of a cap.
@@ -27,17 +27,18 @@
 	use    Use
 	// live means that the pool has reported lately. Others keep their grants.
 	live bool
-	// extra is what an earlier owner of the pool may have running that the owner does not know. It counts in addition.
+	// extra is what an earlier owner of the pool may have running without the knowledge of the present one, which does not report
+	// it.
 	extra Amount
 	// counted is what the customer may have running in the pool, including extra.
 	counted Amount
-	last    Amount // last grant
-	target  Amount
+	last    Amount // grant of the newest offer
+	target  Amount // what the pool uses and what it is to get for waiting work
 	grant   Amount // result
 }
 
 // divide sets the grants of one customer such that what is counted, including the new grants, is within limit. It sorts the
-// claimants. See docs/design/quota.md for the order in which the room is given.
+// claimants. See docs/design/quota.md for the order of division.
 func divide(limit Amount, cs []claimant) {
 	slices.SortStableFunc(cs, func(a, b claimant) int { return cmp.Compare(b.use.Wait, a.use.Wait) })
 	rest := limit
@@ -51,7 +52,7 @@
 		}
 	}
 	rest = rest.Max(Amount{}).unlimit(limit)
-	rest = giveWay(cs, rest)
+	rest = reserveForLongestWait(cs, rest)
 	rest = giveUsed(cs, rest)
 	rest = giveUnits(cs, rest)
 	demand := Amount{}
@@ -68,7 +69,7 @@
 		c := &cs[i]
 		want := c.last
 		if c.live {
-			want = c.target.Add(spare(rest, c.target, demand, live))
+			want = c.target.Add(unclaimedPart(rest, c.target, demand, live))
 		}
 		available := limit.Sub(total.Sub(c.counted)).Sub(c.extra).Max(Amount{})
 		c.grant = want.Min(available).unlimit(limit)
@@ -78,9 +79,10 @@
 	}
 }
 
-// spare returns a pool's part of the rest, which nothing needs now: one half is divided evenly, the other by what the pools
-// use and need. A load peak grows in the pool where it began, and its pool must do with its grant while the allocator is replaced.
-func spare(rest, target, demand Amount, live int) Amount {
+// unclaimedPart returns a pool's part of the rest that no pool needs now. One half is divided evenly, the other by what the
+// pools use and need, because a load peak usually grows where it began, and a pool gets no greater grant while the allocator
+// is replaced.
+func unclaimedPart(rest, target, demand Amount, live int) Amount {
 	out := rest.part(live)
 	for i := range out {
 		if demand[i] > 0 && rest[i] < NoLimit {
@@ -90,9 +92,9 @@
 	return out
 }
 
-// giveWay gives the unit that has waited longest its room before what runs elsewhere, so that the others stop starting tasks
-// until it fits.
-func giveWay(cs []claimant, rest Amount) Amount {
+// reserveForLongestWait reserves room for the unit that has waited longest and fits, before what runs in other pools is granted.
+// These then start no tasks until the unit has its room.
+func reserveForLongestWait(cs []claimant, rest Amount) Amount {
 	for i := range cs {
 		c := &cs[i]
 		if !c.live || !c.use.HeldUp || !c.use.Unit.Fits(rest) {
@@ -107,6 +109,7 @@
 	return rest
 }
 
+// giveUsed gives the pools what they use.
 func giveUsed(cs []claimant, rest Amount) Amount {
 	for i := range cs {
 		if c := &cs[i]; c.live && c.target.Zero() {
@@ -117,7 +120,8 @@
 	return rest
 }
 
-// giveUnits gives whole units to the pools in which work waits.
+// giveUnits gives whole units to the pools in which work waits: one to each pool without room for any, then equal parts of the
+// rest to the pools that the grant holds up, and then what is left to the same pools in the order of their wait.
 func giveUnits(cs []claimant, rest Amount) Amount {
 	waiting := 0
 	give := func(c *claimant, most int) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// Ledger is the newest offer as the owner of a pool holds it. It is not safe for concurrent use.
+// Ledger holds the newest offer for the owner of a pool. It is not safe for concurrent use.
 type Ledger struct {
 	owner int64
-	seen  int64 // greatest epoch of an allocator
-	offer Offer // in force, or lapsed
-	since time.Duration
-	until time.Duration
+	seen  int64         // greatest epoch of an allocator
+	offer Offer         // in force, or lapsed
+	since time.Duration // when offer was applied
+	until time.Duration // when offer lapses
 }
 
 // NewLedger returns a ledger without an offer. Owner is the epoch of the pool's owner.
@@ -51,8 +51,8 @@
 // Version returns the version of the configuration of the newest offer; 0 if there is none.
 func (l *Ledger) Version() int64 { return l.offer.Version }
 
-// Grant returns what a customer may have running in the pool: nothing without an offer that holds. Listed states whether the
-// newest offer, lapsed or not, names the customer, which means that the customer has a cap in that version.
+// Grant returns what a customer may have running in the pool, which is nothing if no offer is in force. Listed states whether the
+// newest offer, lapsed or not, names the customer; the customer then has a cap in that version of the configuration.
 func (l *Ledger) Grant(customer string, now time.Duration) (grant Amount, listed bool) {
 	grant, listed = l.offer.Grants[customer]
 	if now >= l.until {
@@ -66,8 +66,8 @@
 	return l.offer.Epoch, l.offer.Number, now - l.since
 }
 
-// Report returns the report of the pool without Known and Uses. With full, it names the grants in force: when the pool answers an
-// offer that only asks, or that it refused.
+// Report returns the report of the pool without Known and Uses. It contains the grants in force if full is set, as is needed
+// in the answer to an offer that only asks or that was refused.
 func (l *Ledger) Report(full bool, now time.Duration) Report {
 	r := Report{Epoch: l.seen, Owner: l.owner, Clock: now}
 	if l.offer.Give {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -30,7 +30,7 @@
 	return configured
 }
 
-// Zero reports whether nothing is contained in any dimension.
+// Zero reports whether the amount is zero in all dimensions.
 func (a Amount) Zero() bool { return a == Amount{} }
 
 // Add returns the sum, at most NoLimit in each dimension.
@@ -140,10 +140,10 @@
 	Owner int64         `cbor:"4,keyasint,omitempty"`
 	Clock time.Duration `cbor:"5,keyasint,omitempty"`
 	Hold  time.Duration `cbor:"6,keyasint,omitempty"`
-	// Give is false if the allocator only asks. Earlier grants stay as they are then.
+	// Give is false if the allocator only asks for a report. The pool then keeps its grants.
 	Give bool `cbor:"7,keyasint,omitempty"`
-	// Grants holds the grant of each customer with a cap, or only those that differ from the offer with the number Base. That
-	// one must be in force, from the same allocator, and name the same customers. Zero means that Grants is complete.
+	// Grants holds the grant of each customer with a cap, or, if Base is not 0, only those that differ from the offer with the
+	// number Base. That offer must be in force, from the same allocator, and name the same customers.
 	Grants map[string]Amount `cbor:"8,keyasint,omitempty"`
 	Base   int64             `cbor:"9,keyasint,omitempty"`
 }
@@ -151,11 +151,11 @@
 // Use is what one customer has in a pool.
 type Use struct {
 	Used    Amount `cbor:"1,keyasint"`           // what runs, or may run
-	Waiting Amount `cbor:"2,keyasint,omitempty"` // of the tasks that could start now
-	// Unit is the request of the first task, or of the whole gang, that waits, and Wait for how long it has waited.
+	Waiting Amount `cbor:"2,keyasint,omitempty"` // requested by the tasks that could start now
+	// Unit is the request of the first task or whole gang that waits, and Wait is how long it has waited.
 	Unit Amount        `cbor:"3,keyasint,omitempty"`
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
-	// HeldUp means that Unit does not fit in the grant. Otherwise it waits for machines.
+	// HeldUp means that Unit waits because it does not fit in the grant, and not for machines.
 	HeldUp bool `cbor:"5,keyasint,omitempty"`
 }
 
@@ -173,7 +173,7 @@
 	Clock      time.Duration     `cbor:"7,keyasint"` // reading of the owner's steady clock
 	// Known means that the owner knows all runs of earlier owners.
 	Known bool `cbor:"8,keyasint,omitempty"`
-	// ConfirmedFor is the time since the store was last asked whether the owner still owns the pool, and confirmed it.
+	// ConfirmedFor is the time since the owner sent the last request by which the store confirmed that it owns the pool.
 	ConfirmedFor time.Duration  `cbor:"10,keyasint,omitempty"`
-	Uses         map[string]Use `cbor:"9,keyasint,omitempty"` // by customer; those with nothing are left out
+	Uses         map[string]Use `cbor:"9,keyasint,omitempty"` // by customer; customers with nothing running or waiting are left out
 }
