connlimit: usual terms and clearer comments

Memory was given back, drawn and noted, the divisors were described as parts, and some comments had to be read twice (recordAhead, incomplete, minAge).

The text of the log line of the entry daemon is unchanged, because docs/operators.md names it; metrics and exported names are unchanged, too.

Unexported identifiers have usual names (release, chargeRequest, recordAhead, refusals, reclaimDivisor, reclaimInterval, unusedAllowance), notes.go is refusals.go, and comments state rule and reason.

go vet and the linter report nothing; go test ./connlimit ./daemon passes.

--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -10,36 +10,36 @@
 
 const (
 	// connCost is charged for each connection, in bytes: the read and the write buffer of net/http (4 KB each), two goroutine
-	// stacks, and the structures of a connection and its request, and the allowance.
+	// stacks, the structures of a connection and its request, and the allowance.
 	connCost = 20<<10 + allowance
-	// allowance is what a request may cost without a further charge, so that an ordinary request of HTTP/1 changes nothing
-	// that connections share. Its head of 10 lines and a short body cost about 5 KB.
+	// allowance is what a request may cost without a further charge, so that ordinary requests of HTTP/1 do not contend for the
+	// account. A head of 10 lines and a short body cost about 5 KB.
 	allowance = 6 << 10
-	// streamsCost is charged in addition for a connection that uses HTTP/2: receive buffers, header table, one header block.
+	// streamsCost is charged in addition for a connection that uses HTTP/2: receive buffers, header table and one header block.
 	streamsCost = 128 << 10
 	// maxWait limits how long a reader waits for memory before its request is refused.
 	maxWait = time.Second
-	// minAge is the time in a phase before a connection counts as slow when memory is needed. What a client has sent at once
-	// may still be in the kernel's buffer.
+	// minAge is the time in a phase before a connection may be closed to free memory. The rest of a request that the client has
+	// sent at once may still be in the kernel's buffer.
 	minAge = 200 * time.Millisecond
-	// chooseInterval is how often a reader that waits looks for connections that have become slow.
-	chooseInterval = minAge + 50*time.Millisecond
-	// roomDivisor is the part of the memory that is freed at once when it is exhausted. Freeing only what one reader
-	// needs would choose among all connections for every reader.
-	roomDivisor = 8
-	// acceptDivisor is the part of the memory that only new connections may use, so that a caller with a small request is
-	// accepted while others wait for memory.
+	// reclaimInterval is how often a waiting reader looks for connections that have become slow.
+	reclaimInterval = minAge + 50*time.Millisecond
+	// 1/reclaimDivisor of the memory is freed at once when it is exhausted. If only the need of one reader were freed, all
+	// connections would be sorted again for every reader.
+	reclaimDivisor = 8
+	// 1/acceptDivisor of the memory is reserved for new connections, so that a caller with a small request is accepted while
+	// others wait for memory.
 	acceptDivisor = 8
-	// batchDivisor is the part of the connections that is closed at once when there are too many.
+	// 1/batchDivisor of the connections is closed at once when there are too many, so that not every new one sorts all of them.
 	batchDivisor = 16
-	// idleDivisor lessens the weight of a connection that is idle after a complete request: its client has shown that it
+	// idleDivisor reduces the weight of a connection that is idle after a complete request, because its client has shown that it
 	// sends whole requests.
 	idleDivisor = 4
 )
 
 // Errors of readers.
 var (
-	// ErrRefused is returned to a reader for which there is no memory. The request that it reads has not run.
+	// ErrRefused is returned to a reader for which there is no memory. The request that it reads was not processed.
 	ErrRefused = errors.New("no memory for the request")
 	errClosed  = errors.New("closed to free memory or descriptors")
 )
@@ -51,7 +51,7 @@
 	maxConns int
 	soft     int64 // soft limit of the runtime's memory in bytes, 0 for none
 	started  time.Time
-	notes    notes
+	refusals refusals
 
 	used    atomic.Int64 // bytes charged
 	waiters atomic.Int64 // length of queue
@@ -61,8 +61,8 @@
 
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
-	closing  int   // connections closed by the account whose server has not ended yet
-	expected int64 // bytes that these will return
+	closing  int   // connections closed by the account that the server has not closed yet
+	expected int64 // bytes that these will release
 }
 
 // waiter is a reader that waits for memory.
@@ -76,14 +76,14 @@
 	a := &Account{started: time.Now(), conns: make(map[*Conn]struct{})}
 	a.limit, a.maxConns, a.soft = limits.budget()
 	a.requests = a.limit - a.limit/acceptDivisor
-	a.notes.init(report)
+	a.refusals.init(report)
 	return a
 }
 
 // now returns the time since the account was created, in nanoseconds.
 func (a *Account) now() int64 { return int64(time.Since(a.started)) }
 
-// take charges n bytes for a request if they fit.
+// take charges n bytes for a request and returns true, or returns false if they do not fit.
 func (a *Account) take(n int64) bool {
 	for {
 		used := a.used.Load()
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// giveBack returns n bytes.
-func (a *Account) giveBack(n int64) {
+// release returns n charged bytes to the account and serves the readers that wait.
+func (a *Account) release(n int64) {
 	if n == 0 {
 		return
 	}
@@ -143,7 +143,7 @@
 		return errClosed
 	}
 	a.serveQueue()
-	ticker := time.NewTicker(chooseInterval)
+	ticker := time.NewTicker(reclaimInterval)
 	defer ticker.Stop()
 	for end := time.Now().Add(maxWait); time.Now().Before(end); {
 		select {
@@ -162,10 +162,10 @@
 	return nil
 }
 
-// leaveQueue ends the wait of a reader that needs no memory any more.
+// leaveQueue ends the wait of a reader whose connection was closed, and releases what was charged for it meanwhile.
 func (a *Account) leaveQueue(w *waiter) {
 	if !a.dequeue(w) {
-		a.giveBack(w.need)
+		a.release(w.need)
 	}
 }
 
@@ -193,7 +193,7 @@
 	}
 }
 
-// freeMemory closes connections so that n bytes will fit. It returns true if self is one of them.
+// freeMemory closes connections so that n bytes will fit. It returns true if self is one of the closed connections.
 func (a *Account) freeMemory(self *Conn, n int64) (closedSelf bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -201,7 +201,7 @@
 		return false
 	}
 	for _, c := range a.candidates(minAge) {
-		if a.used.Load()-a.expected+n <= a.requests-a.requests/roomDivisor {
+		if a.used.Load()-a.expected+n <= a.requests-a.requests/reclaimDivisor {
 			break
 		}
 		a.close(c, ClosedForMemory)
@@ -210,8 +210,8 @@
 	return closedSelf
 }
 
-// candidates returns the connections whose request is not complete and that are in their phase for at least the given time,
-// the slowest and largest first. The caller holds mu.
+// candidates returns the connections whose request is not complete and that have been in their phase for at least the given
+// time, in descending order of charge times duration. The caller holds mu.
 func (a *Account) candidates(age time.Duration) []*Conn {
 	type candidate struct {
 		c      *Conn
@@ -246,15 +246,15 @@
 	return out
 }
 
-// close closes a connection. Its charge is returned when its server has ended. The caller holds mu.
+// close closes a connection. Its charge is released when the server closes it, too. The caller holds mu.
 func (a *Account) close(c *Conn, kind Kind) {
 	c.closed.Store(true)
 	c.expected = c.charged.Load()
 	a.expected += c.expected
 	a.closing++
-	// The server sees the error at its next call and ends.
+	// The server gets an error from its next call and closes the connection.
 	_ = c.Conn.Close()
-	a.notes.add(kind, c.listener)
+	a.refusals.add(kind, c.listener)
 }
 
 // admit charges a new connection. It closes others if there are too many or if they hold all memory. It returns false if
@@ -276,7 +276,7 @@
 			a.close(x, ClosedForMemory)
 		}
 	}
-	// The connections that are being closed still hold their memory for a moment. Their number is bounded here, so that
+	// Connections that are being closed hold their memory until the server has closed them. Their number is bounded, so that
 	// clients that reconnect at once are not accepted faster than their earlier connections end.
 	if len(a.conns)-a.closing >= a.maxConns || a.closing > a.maxConns || a.used.Load()-a.expected+connCost > a.limit {
 		return false
@@ -287,7 +287,7 @@
 	return true
 }
 
-// remove returns all that a connection holds.
+// remove removes a connection and releases its charge.
 func (a *Account) remove(c *Conn) {
 	a.mu.Lock()
 	if _, ok := a.conns[c]; !ok {
@@ -300,7 +300,7 @@
 		a.expected -= c.expected
 	}
 	a.mu.Unlock()
-	a.giveBack(c.charged.Swap(0))
+	a.release(c.charged.Swap(0))
 }
 
 // open returns the number of open connections.
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// maxAhead is the size of net/http's read buffer: the most that it can read behind the end of a request.
+	// maxAhead is the size of net/http's read buffer, which bounds what it reads beyond the end of a request.
 	maxAhead = 4096
-	// largeHead is the charge of a connection from which a head counts as large: three pieces of net/http's read buffer with
-	// ordinary lines cost less.
+	// largeHead is the charge of a connection above which its head counts as large. A head of ordinary lines that fills net/http's
+	// read buffer three times costs less.
 	largeHead = connCost + 64<<10
 	// writeStall is how long a response may make no progress.
 	writeStall = 30 * time.Second
-	// refusalTimeout limits the sending of a refusal to a client that may not read.
+	// refusalTimeout limits the time for sending a refusal, because the client may not read it.
 	refusalTimeout = 50 * time.Millisecond
 )
 
@@ -35,7 +35,7 @@
 	phaseHijacked              // the connection belongs to the handler
 )
 
-// refusal is the answer to a request that could not be read for want of memory.
+// refusal is the response to a request for which there was no memory.
 var refusal = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
 	verdict.Header + ": " + string(verdict.NotRun) + "\r\nContent-Length: " + strconv.Itoa(len(refusalBody)) + "\r\n\r\n" + refusalBody)
 
@@ -53,11 +53,11 @@
 	since    atomic.Int64 // when the phase began, in Account.now
 	waiting  atomic.Bool  // its reader waits for memory
 	closed   atomic.Bool  // closed by the account
-	expected int64        // charge at that time; under Account.mu
+	expected int64        // charge when the account closed it; guarded by Account.mu
 
 	inRequest    atomic.Bool  // the head of the current request is complete
 	bodyDeadline atomic.Int64 // Unix time in nanoseconds until which the body must arrive, 0 for none
-	answering    atomic.Bool  // a part of the answer to the current request was sent
+	answering    atomic.Bool  // a part of the response to the current request was sent
 	writeUntil   atomic.Int64 // Unix time in nanoseconds of the write deadline that was set by Write, 0 for none
 
 	// streams and reading count the open HTTP/2 requests and those whose body is not complete.
@@ -65,9 +65,9 @@
 
 	wrote atomic.Int64 // when Write was last called, in Account.now
 
-	// The server reads from one goroutine at a time. The fields below belong to it.
-	spare int64 // part of the allowance that is not used yet
-	head  headReader
+	// The server reads from one goroutine at a time. Only that one uses the fields below.
+	unusedAllowance int64 // part of the allowance that is not used yet
+	head            headReader
 	// ahead and aheadLines describe the bytes that may be buffered behind the end of the request.
 	ahead, aheadLines int
 	scanned           bool // the head of the current request passed through head
@@ -79,8 +79,8 @@
 func (c *Conn) incomplete() bool {
 	switch c.phase.Load() {
 	case phaseNew, phaseHead, phaseIdle:
-		// A small head that waits for memory is not late by the fault of its client, and is refused after maxWait. A body or
-		// a large part of a head that waits holds what others may need to be completed.
+		// A small head that waits for memory is not the client's fault, and it is refused after maxWait. A large part of a head
+		// that waits holds memory that other requests may need in order to complete, and so does a body.
 		return !c.waiting.Load() || c.charged.Load() > largeHead
 	case phaseBody:
 		return true
@@ -95,16 +95,16 @@
 	c.phase.Store(phase)
 }
 
-// draw charges n bytes for a request of HTTP/1, first to the allowance.
-func (c *Conn) draw(n int64) error {
-	if n <= c.spare {
-		c.spare -= n
+// chargeRequest charges n bytes for a request of HTTP/1, first to the allowance.
+func (c *Conn) chargeRequest(n int64) error {
+	if n <= c.unusedAllowance {
+		c.unusedAllowance -= n
 		return nil
 	}
-	if err := c.a.charge(c, n-c.spare); err != nil {
+	if err := c.a.charge(c, n-c.unusedAllowance); err != nil {
 		return err
 	}
-	c.spare = 0
+	c.unusedAllowance = 0
 	return nil
 }
 
@@ -121,12 +121,12 @@
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		switch phase {
 		case phaseNew, phaseHead:
-			c.a.notes.add(HeadTimedOut, c.listener)
+			c.a.refusals.add(HeadTimedOut, c.listener)
 		case phaseBody:
 			// The server also ends a pending read by a deadline in the past, and reads again after an error.
 			if until := c.bodyDeadline.Load(); !c.stalled && until != 0 && time.Now().UnixNano() >= until {
 				c.stalled = true
-				c.a.notes.add(BodyStalled, c.listener)
+				c.a.refusals.add(BodyStalled, c.listener)
 			}
 		}
 	}
@@ -136,12 +136,12 @@
 // received charges the part of p that belongs to a head.
 func (c *Conn) received(p []byte) error {
 	if c.inRequest.Load() {
-		c.noteAhead(p)
+		c.recordAhead(p)
 		return nil
 	}
 	n, lines, end := c.head.read(p)
 	if end {
-		// A request whose head is complete is not closed for others while it waits for memory.
+		// A connection is not closed for others while the memory for its complete head is awaited.
 		c.phase.Store(phaseServing)
 	} else if c.phase.CompareAndSwap(phaseNew, phaseHead) || c.phase.CompareAndSwap(phaseIdle, phaseHead) {
 		c.since.Store(c.a.now())
@@ -150,9 +150,9 @@
 	if end {
 		cost += bodyCost * int64(len(p)-n)
 	}
-	if err := c.draw(cost); err != nil {
+	if err := c.chargeRequest(cost); err != nil {
 		if errors.Is(err, ErrRefused) {
-			c.a.notes.add(HeadRefused, c.listener)
+			c.a.refusals.add(HeadRefused, c.listener)
 			c.refuse()
 		}
 		return err
@@ -162,7 +162,7 @@
 	}
 	c.inRequest.Store(true)
 	c.ahead, c.aheadLines, c.scanned = 0, 0, true
-	c.noteAhead(p[n:])
+	c.recordAhead(p[n:])
 	if !c.head.http2() {
 		return nil
 	}
@@ -170,8 +170,8 @@
 	return c.a.charge(c, streamsCost)
 }
 
-// refuse answers the current request with refusal, unless a part of another answer was sent, and closes the connection. The
-// rest of the request must not be read as the begin of the next one.
+// refuse sends refusal, unless a part of another response was sent, and closes the connection, because the rest of the request
+// must not be read as the beginning of the next one.
 func (c *Conn) refuse() {
 	if !c.answering.Load() {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
@@ -181,9 +181,9 @@
 	_ = c.Conn.Close()
 }
 
-// noteAhead records bytes behind a head. Bytes before the last read were used before it, except for the single byte that
-// the server reads while a handler runs.
-func (c *Conn) noteAhead(p []byte) {
+// recordAhead records the bytes of a read that belong to the body or to later requests. The bytes of earlier reads have been
+// consumed by then, unless this is the single byte that the server reads in the background while a handler runs.
+func (c *Conn) recordAhead(p []byte) {
 	lines := 0
 	if len(p) <= maxAhead {
 		for _, b := range p {
@@ -201,20 +201,20 @@
 	c.aheadLines = min(c.aheadLines+lines, c.ahead/minLine)
 }
 
-// requestDone returns the charge of a request. What is buffered behind it stays charged as the begin of the next head.
+// requestDone releases the charge of a request. What is buffered beyond its end stays charged as the beginning of the next head.
 func (c *Conn) requestDone() {
 	c.bodyDeadline.Store(0)
 	c.answering.Store(false)
 	c.head, c.scanned, c.stalled = headReader{}, false, false
 	ahead := headCost(c.ahead, c.aheadLines)
-	c.spare = max(0, allowance-ahead)
+	c.unusedAllowance = max(0, allowance-ahead)
 	keep := connCost + max(0, ahead-allowance)
 	charged := c.charged.Load()
 	if keep < charged {
 		c.charged.Add(keep - charged)
-		c.a.giveBack(charged - keep)
+		c.a.release(charged - keep)
 	}
-	c.since.Store(c.wrote.Load()) // the end of the answer was written a moment ago
+	c.since.Store(c.wrote.Load()) // the last write was the end of the response
 	c.phase.Store(phaseIdle)
 	c.inRequest.Store(false)
 }
@@ -232,7 +232,7 @@
 		c.setPhase(phaseHijacked)
 		_ = c.Conn.SetWriteDeadline(time.Time{})
 		charged := c.charged.Swap(connCost)
-		c.a.giveBack(charged - connCost)
+		c.a.release(charged - connCost)
 	}
 }
 
@@ -287,7 +287,7 @@
 	return c.Conn.Write(p)
 }
 
-// CloseWrite closes the sending side. The server uses it so that a client can read an answer to a request that was not read
+// CloseWrite closes the sending side. The server uses it so that a client can read the response to a request that was not read
 // completely.
 func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -296,7 +296,7 @@
 	return nil
 }
 
-// Close implements net.Conn and returns what the connection holds.
+// Close implements net.Conn and releases the charge of the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.a.remove(c)
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -114,7 +114,7 @@
 		_ = c.Close()
 		awaitUsed(t, a, 0)
 	}
-	for k, counter := range a.notes.counters {
+	for k, counter := range a.refusals.counters {
 		if counter.Count() != 0 {
 			t.Errorf("%s: %d", Kind(k), counter.Count())
 		}
@@ -149,7 +149,7 @@
 	if used := a.used.Load(); used > a.limit {
 		t.Errorf("%d bytes charged, limit %d", used, a.limit)
 	}
-	if n := a.notes.counters[ClosedForMemory].Count(); n == 0 {
+	if n := a.refusals.counters[ClosedForMemory].Count(); n == 0 {
 		t.Error("no slow client was closed")
 	}
 	if r := <-reports; r.Kind != ClosedForMemory || r.Listener != "callers" || len(reports) > int(kinds) {
@@ -253,7 +253,7 @@
 		t.Errorf("slow body: %v, %v", resp, err)
 	}
 	wg.Wait()
-	if n := a.notes.counters[BodyStalled].Count(); n != 2 {
+	if n := a.refusals.counters[BodyStalled].Count(); n != 2 {
 		t.Errorf("%d stalled bodies counted, want 2", n)
 	}
 }
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// bodyCost is charged for each byte of a body. io.ReadAll holds the pieces that it read and a copy of them.
+	// bodyCost is charged for each byte of a body, because io.ReadAll holds the pieces that it has read and a copy of them.
 	bodyCost = 2
 	// objectCost is charged for each JSON object of a body that is decoded: a step of a job takes about 200 bytes, the
 	// slice of steps has up to twice its size while it grows, and the steps are copied once.
 	objectCost = 512
-	// maxPiece limits how far a body is read ahead of the account.
+	// maxPiece is the maximum size of the pieces in which a body is charged and read.
 	maxPiece = 32 << 10
-	// bodyGrace and minBodyRate set the deadline of a body: the grace, and the time that what has arrived took at the
-	// minimum rate in bytes per second. A body of 262,144 bytes may take 21 s.
+	// bodyGrace and minBodyRate, in bytes per second, set the deadline of a body: the grace and the time that the bytes received
+	// so far take at the minimum rate. A body of 262,144 bytes may take 21 s.
 	bodyGrace   = 5 * time.Second
 	minBodyRate = 16 << 10
 	// deadlineStep is the number of bytes after which the deadline is extended.
@@ -46,11 +46,11 @@
 	}
 }
 
-// serve serves a request of HTTP/1. Its charge is returned when the server changes the state of the connection.
+// serve serves a request of HTTP/1. Its charge is released when the server changes the state of the connection.
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, c *Conn) {
 	c.inRequest.Store(true)
 	if r.Body == nil || r.Body == http.NoBody {
-		// A head that was buffered behind the request before has not passed through Read.
+		// A pipelined head that the server had already buffered has not passed through Read.
 		c.phase.Store(phaseServing)
 		h.next.ServeHTTP(w, r)
 		return
@@ -72,7 +72,7 @@
 // serveStream serves a request of HTTP/2. The server has decoded its head, whose size HTTP2Config limits.
 func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, c *Conn) {
 	var charged atomic.Int64
-	defer func() { c.giveBack(charged.Load()) }()
+	defer func() { c.release(charged.Load()) }()
 	n, lines := 0, 0
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -86,7 +86,7 @@
 		c.since.Store(c.a.now())
 	}()
 	if err := c.a.charge(c, cost); err != nil {
-		h.a.notes.add(HeadRefused, h.server.Name)
+		h.a.refusals.add(HeadRefused, h.server.Name)
 		e := verdict.Wrap(err, verdict.NotRun, verdict.ReasonQueueFull, http.StatusServiceUnavailable, "no memory left")
 		e.RetryAfter = time.Second
 		e.Write(w, "", "")
@@ -102,20 +102,20 @@
 	h.next.ServeHTTP(w, r)
 }
 
-// giveBack returns a part of the connection's charge.
-func (c *Conn) giveBack(n int64) {
-	// The connection may have returned all of it in Close already.
+// release releases a part of the connection's charge.
+func (c *Conn) release(n int64) {
+	// Close may have released all of it already.
 	for {
 		charged := c.charged.Load()
 		n = min(n, charged)
 		if c.charged.CompareAndSwap(charged, charged-n) {
-			c.a.giveBack(n)
+			c.a.release(n)
 			return
 		}
 	}
 }
 
-// body is a request body that draws on the account as it is read.
+// body is a request body that is charged to the account as it is read.
 type body struct {
 	io.ReadCloser
 	r      *http.Request
@@ -124,9 +124,9 @@
 	start  time.Time     // zero if the whole body came with its head
 	stream *atomic.Int64 // charge of an HTTP/2 request, nil for HTTP/1
 
-	received, extended int64 // bytes so far, and when the deadline was last extended
+	received, extended int64 // bytes received so far, and those received when the deadline was last extended
 	credit             int64 // bytes that are charged and not used yet
-	objects            int64 // charge for objects
+	objects            int64 // bytes charged for JSON objects
 	done               bool
 }
 
@@ -163,7 +163,7 @@
 	return n, err
 }
 
-// charge makes sure that n bytes are charged and not used yet.
+// charge raises the credit to n bytes if it is less.
 func (b *body) charge(n int64) error {
 	if n <= b.credit {
 		return nil
@@ -171,23 +171,23 @@
 	n -= b.credit
 	var err error
 	if b.stream != nil {
-		// The streams of a connection run at the same time, so they have no part in its allowance.
+		// The streams of a connection run concurrently, and its allowance is not safe for concurrent use.
 		if err = b.c.a.charge(b.c, n); err == nil {
 			b.stream.Add(n)
 		}
-	} else if err = b.c.draw(n); err != nil {
+	} else if err = b.c.chargeRequest(n); err != nil {
 		b.c.refuse()
 	}
 	if err != nil {
-		b.c.a.notes.add(BodyRefused, b.server.Name)
+		b.c.a.refusals.add(BodyRefused, b.server.Name)
 		return err
 	}
 	b.credit += n
 	return nil
 }
 
-// chargeObjects charges the JSON objects that begin in p. All of them together take at most half of the budget, so that each
-// body of legal size can be served, one at a time.
+// chargeObjects charges the JSON objects that begin in p. The objects of a body are charged with at most half of the budget, so
+// that any body of permitted size can be served, if only one at a time.
 func (b *body) chargeObjects(p []byte) error {
 	n := min(objectCost*int64(bytes.Count(p, []byte{'{'})), b.c.a.limit/2-b.objects)
 	if n <= 0 {
@@ -201,7 +201,7 @@
 	return nil
 }
 
-// chargeTrailer charges the header lines behind a chunked body.
+// chargeTrailer charges the trailer of a chunked body.
 func (b *body) chargeTrailer() error {
 	if len(b.r.Trailer) == 0 {
 		return nil
--- a/connlimit/limits.go
+++ b/connlimit/limits.go
@@ -7,18 +7,19 @@
 )
 
 const (
-	// Limits of the smallest machines. They apply if the settings give none.
+	// Limits of the smallest supported machines. They apply if the settings give none.
 	defaultMemoryMB = 184
 	defaultMaxFDs   = 4100
 	// fileReserve is the number of descriptors that are kept for files.
 	fileReserve = 200
-	// clientPercent is the part of the memory that clients may hold. The rest is for the node's own state, the program,
+	// clientPercent is the percentage of the memory that clients may hold. The rest is for the node's own state, the program,
 	// and garbage that is not collected yet.
 	clientPercent = 35
-	// softPercent is the soft limit of the runtime's memory. The program's text and the kernel's structures, which it does
-	// not include, take about 12 MB.
+	// softPercent is the soft limit of the runtime's memory as a percentage of the machine's memory. It does not include the
+	// program's text and the kernel's structures, about 12 MB.
 	softPercent = 70
-	minConns    = 16
+	// minConns keeps a process with few descriptors or little memory reachable.
+	minConns = 16
 )
 
 // Limits are the limits of a process. Zero means unknown, or derived from the others.
@@ -63,7 +64,7 @@
 }
 
 // LimitRuntime sets the soft limit of the runtime's memory, unless the environment sets one or the memory of the machine is
-// unknown. Without it the heap may grow to twice of what is reachable between two collections.
+// unknown. Without a limit, the heap may grow to twice its reachable part between two collections.
 func (a *Account) LimitRuntime() {
 	if a.soft > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(a.soft)
--- a/connlimit/protect.go
+++ b/connlimit/protect.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	// DefaultMaxHeaderBytes limits a head where the server sets no limit. Callers may send heads of 16,384 bytes.
+	// DefaultMaxHeaderBytes limits a head if the server sets no limit. Callers may send heads of 16,384 bytes.
 	DefaultMaxHeaderBytes = 20 << 10
-	// defaultHeadTimeout and defaultIdleTimeout apply where the server sets none. Callers may take 3 s for a head and keep a
+	// defaultHeadTimeout and defaultIdleTimeout apply if the server sets none. Callers may take 3 s for a head and keep a
 	// connection idle for 15 s.
 	defaultHeadTimeout = 5 * time.Second
 	defaultIdleTimeout = 30 * time.Second
-	// readBuffer limits what the kernel keeps of a connection that the server does not read.
+	// readBuffer is the size of the kernel's receive buffer of a connection. It limits what accumulates while the server does not
+	// read.
 	readBuffer = 64 << 10
 	// Limits of an HTTP/2 connection, so that streamsCost covers its buffers.
 	maxStreams      = 100
@@ -24,19 +25,20 @@
 	headerTableSize = 4 << 10
 )
 
-// Server describes a server that is protected.
+// Server describes a server to protect.
 type Server struct {
 	Name string // of the listener, for metrics and log lines
-	// DecodesJSON is set if the handlers decode whole bodies as JSON. Each object of a body is charged then, because a short
-	// object may become a large structure.
+	// DecodesJSON is set if the handlers decode whole bodies as JSON. Each object of a body is then charged, because a short
+	// object may be decoded into a large structure.
 	DecodesJSON bool
 }
 
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
-// Protect makes a server draw on the account, and returns the listener from which the server must accept. Timeouts and the
-// limit of a head that the server does not set get defaults. It must be called before the server serves.
+// Protect charges the connections and requests of a server to the account, and returns the listener from which the server must
+// accept. Timeouts and the limit of a head get defaults if the server does not set them. It must be called before the server
+// serves.
 func (a *Account) Protect(srv *http.Server, l net.Listener, s Server) net.Listener {
 	if srv.MaxHeaderBytes == 0 {
 		srv.MaxHeaderBytes = DefaultMaxHeaderBytes
@@ -64,25 +66,25 @@
 	return &listener{Listener: l, a: a, name: s.Name}
 }
 
-// listener accepts connections that draw on an account.
+// listener accepts connections that are charged to an account.
 type listener struct {
 	net.Listener
 	a    *Account
 	name string
 }
 
-// Accept implements net.Listener. It closes connections for which there is no room.
+// Accept implements net.Listener. It closes connections that the account does not admit.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: raw, a: l.a, listener: l.name, spare: allowance}
+		c := &Conn{Conn: raw, a: l.a, listener: l.name, unusedAllowance: allowance}
 		c.since.Store(l.a.now())
 		if !l.a.admit(c) {
 			_ = raw.Close()
-			l.a.notes.add(ConnRefused, l.name)
+			l.a.refusals.add(ConnRefused, l.name)
 			continue
 		}
 		if tcp, ok := raw.(*net.TCPConn); ok {
--- a/connlimit/notes.go
+++ b/connlimit/refusals.go
@@ -17,7 +17,7 @@
 const (
 	// ClosedForMemory is a connection with an incomplete request that was closed because the memory was needed.
 	ClosedForMemory Kind = iota
-	// ClosedForDescriptors is one that was closed because there were too many connections.
+	// ClosedForDescriptors is such a connection that was closed because there were too many connections.
 	ClosedForDescriptors
 	// ConnRefused is a connection that was closed at once because no other could be closed for it.
 	ConnRefused
@@ -46,8 +46,8 @@
 	Count    int64  // since the last report of the kind
 }
 
-// notes counts refusals and reports each kind at most once in reportPeriod.
-type notes struct {
+// refusals counts refusals and reports each kind at most once in reportPeriod.
+type refusals struct {
 	report   func(Refusal)
 	counters [kinds]metrics.Counter
 
@@ -56,7 +56,7 @@
 	reported [kinds]int64
 }
 
-func (n *notes) init(report func(Refusal)) {
+func (n *refusals) init(report func(Refusal)) {
 	n.report = report
 	for k := range n.counters {
 		n.counters[k] = metrics.NewCounter()
@@ -64,7 +64,7 @@
 }
 
 // add counts one refusal.
-func (n *notes) add(k Kind, listener string) {
+func (n *refusals) add(k Kind, listener string) {
 	n.counters[k].Inc(1)
 	if n.report == nil {
 		return
@@ -97,7 +97,7 @@
 			return err
 		}
 	}
-	for k, c := range a.notes.counters {
+	for k, c := range a.refusals.counters {
 		if err := r.Register("connections."+Kind(k).String(), c); err != nil {
 			return err
 		}
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -23,7 +23,7 @@
 	return errors.Wrap(d.account.RegisterMetrics(d.registry), "metrics of clients' connections")
 }
 
-// protect returns the function that makes the server of a listener draw on the account.
+// protect returns the function that charges the server of a listener to the account.
 func (d *Daemon) protect(name string, decodesJSON bool) func(*http.Server, net.Listener) net.Listener {
 	return func(srv *http.Server, l net.Listener) net.Listener {
 		return d.account.Protect(srv, l, connlimit.Server{Name: name, DecodesJSON: decodesJSON})
