--- a/apikey/decide.go
+++ b/apikey/decide.go
@@ -2,15 +2,16 @@
 
 import "time"
 
-// vouchFraction is the part of the revocation bound for which a node may rely on what it has read. The rest of the bound
-// covers a slow body, the way to the owner of the pool, and clocks of different rates.
-const vouchFraction = 0.6
+// maxAgeFraction is the fraction of the revocation bound up to which a node relies on what it has read. The rest of the bound
+// covers a slow body, the transfer to the owner of the pool, and clocks of different rates.
+const maxAgeFraction = 0.6
 
-// Knowledge says up to when a node knows the operators' records. The zero value means that it never read all of them.
+// Knowledge says as of when a node knows the operators' records. The zero value means that it never read all of them.
 type Knowledge struct {
 	// Complete is true after a read that reached the end of the records.
 	Complete bool
-	// ReadAt is the steady time at which the last such read began. It must be read before the key table that it describes.
+	// ReadAt is the steady time at which the last such read began. A caller must load it before the key table that it describes, so
+	// that the table is at least as new.
 	ReadAt time.Duration
 }
 
@@ -45,7 +46,7 @@
 	Unknown Outcome = "unknown key"
 	// Unconfirmed means that the table has no such key and that no read since the arrival of the call confirms it.
 	Unconfirmed Outcome = "unconfirmed key"
-	// Stale means that the knowledge is too old to vouch for any key.
+	// Stale means that the knowledge is too old to accept any key.
 	Stale Outcome = "knowledge too old"
 )
 
@@ -57,10 +58,10 @@
 }
 
 // Decide returns the decision on the key of a call on a route that needs one. The zero Key stands for a call without a key.
-// Revocation is the time after which a removed key must be of no use; 0 means that there is no such bound.
+// Revocation is the time after which a removed key must no longer be accepted; 0 means that there is no such bound.
 func (t *Table) Decide(k Key, age Age, revocation time.Duration) Decision {
 	d := Decision{Age: age}
-	if revocation > 0 && (!age.Known || age.SinceRead > time.Duration(vouchFraction*float64(revocation))) {
+	if revocation > 0 && (!age.Known || age.SinceRead > time.Duration(maxAgeFraction*float64(revocation))) {
 		d.Outcome = Stale
 		return d
 	}
--- a/apikey/key.go
+++ b/apikey/key.go
@@ -14,11 +14,11 @@
 	// MaxKeyBytes is the greatest length of a usable key. It bounds the cost of hashing what a caller sends.
 	MaxKeyBytes = 512
 	saltSize    = 32
-	// redacted is what every representation of a key shows.
+	// redacted is the text of every representation of a key.
 	redacted = "[key]"
 )
 
-// salt is drawn for each process, so that neither the digests nor their place in a table tell anything about the keys.
+// salt is random for each process, so that neither the digests nor their order in a table reveal anything about the keys.
 var salt = newSalt()
 
 func newSalt() (s [saltSize]byte) {
--- a/command/explain.go
+++ b/command/explain.go
@@ -150,7 +150,7 @@
 		line("owner", "%s of shard %d, epoch %d", o.Owner, o.Shard, o.Epoch)
 		printOwner(line, e)
 	} else if e.KnownOwner != "" {
-		line("owner", "%s of shard %d as the node knows; no answer of it", e.KnownOwner, e.Shard)
+		line("owner", "%s of shard %d as far as the node knows; no answer from it", e.KnownOwner, e.Shard)
 	}
 	switch r := e.Refusal; {
 	case r != nil:
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -125,8 +125,9 @@
 type OperatorSource interface {
 	// Next blocks until a change arrives. It returns an empty change if none arrives for some time.
 	Next(ctx context.Context) (*OperatorChange, error)
-	// ReadNow reads, without blocking for a change, from where the changes end that Next has returned and whose caller has called
-	// Next again. It returns a complete change or an error, and leaves out the waves. It may be called beside Next.
+	// ReadNow reads to the end of the operators' records without waiting for a change. It begins after the last change that the
+	// caller of Next has applied, which a further call of Next shows. It returns a complete change without the waves, or an error.
+	// It may be called concurrently with Next.
 	ReadNow(ctx context.Context) (*OperatorChange, error)
 }
 
--- a/jobmanager/explain.go
+++ b/jobmanager/explain.go
@@ -11,12 +11,12 @@
 const (
 	// explainTimeout bounds the explanation by the owner, attempts at later owners included.
 	explainTimeout = 2500 * time.Millisecond
-	// explainPauseFactor limits the fraction of time that an owner spends on explanations: after one that took d, the next one
-	// begins at least explainPauseFactor times d later. One takes 36 ms in a pool of 1,100 full workers.
+	// explainPauseFactor limits the fraction of time that an owner spends on explanations, which delay its scheduling: after one
+	// that took d, the next one begins at least explainPauseFactor times d later.
 	explainPauseFactor = 10
 )
 
-// OwnerExplanation is what the owner of a pool says about a call that is not made.
+// OwnerExplanation is the explanation by the owner of a pool of how it would answer a call.
 type OwnerExplanation struct {
 	Pool  string `cbor:"1,keyasint" json:"pool"`
 	Shard int    `cbor:"2,keyasint,omitempty" json:"shard"`
@@ -156,7 +156,7 @@
 	return r
 }
 
-// explainLocation is locate without its effects.
+// explainLocation returns the decision of locate without changing anything.
 func (s *shard) explainLocation(c call) location {
 	if c.Address == "" {
 		return location{}
--- a/jobmanager/foreign.go
+++ b/jobmanager/foreign.go
@@ -17,9 +17,9 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonForeignJob, http.StatusForbidden, "the job belongs to another customer")
 }
 
-// foreignOwner reports whether a call is about a job that its customer may not use, with the customer and the queue of the job.
-// Jobs of public routes belong to nobody: calls of public routes and calls of the queue to which they were submitted may use
-// them.
+// foreignOwner reports whether a call is about a job that its customer may not use, and returns the customer and the queue of the
+// job. A job of a public route has no customer: calls without a customer and calls of the queue to which it was submitted may use
+// it.
 func foreignOwner(p *job.Pool, c call) (owner, queue string, foreign bool) {
 	if c.Customer == nil {
 		return "", "", false
--- a/jobmanager/keys.go
+++ b/jobmanager/keys.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// freshReadInterval is the least time between the starts of two reads of the operators' records that calls wait for. It
-	// bounds what calls with unknown keys cost the store: 4 reads a second for each node.
+	// freshReadInterval is the minimum time between the starts of two reads of the operators' records that calls wait for. It
+	// bounds the load that calls with unknown keys put on the store to 4 reads a second for each node.
 	freshReadInterval = 250 * time.Millisecond
 	// freshReadTimeout bounds one such read. A slow store answers within about 300 ms.
 	freshReadTimeout = 600 * time.Millisecond
@@ -26,9 +26,9 @@
 	// Knowledge says how new the configuration is. It was read before Config.
 	Knowledge apikey.Knowledge
 	Config    *Config // nil if there is none yet
-	// Revocation is the time after which a removed key is of no use; 0 if there is no such bound.
+	// Revocation is the time after which a removed key is no longer accepted; 0 if there is no such bound.
 	Revocation time.Duration
-	// RetryAfter is when a call that the node can't decide on is worth a retry.
+	// RetryAfter is the time after which a caller may retry a call on which the node can't decide.
 	RetryAfter time.Duration
 }
 
--- a/jobmanager/queues.go
+++ b/jobmanager/queues.go
@@ -145,9 +145,9 @@
 // location is the decision where a call for a job that the pool doesn't know is answered.
 type location struct {
 	pool string // to which the call is redirected; "" for this one
-	// unheld means that the pool can't answer, because it does not hold the queue; claim, that it is to take the queue over.
+	// unheld means that the pool can't answer because it does not hold the queue, and claim that it must take the queue over.
 	unheld, claim bool
-	// forget means that the earlier pool that accepted the job has removed it since it ended.
+	// forget means that the job has ended, and the earlier pool that accepted it has removed it.
 	forget bool
 }
 
--- a/jobmanager/quotaloop.go
+++ b/jobmanager/quotaloop.go
@@ -20,7 +20,7 @@
 	quotaInterval = 200 * time.Millisecond
 	// quotaTimeout bounds the call to the owner of one pool in a round.
 	quotaTimeout = 300 * time.Millisecond
-	// homesInterval is the time between looks at the pools that accepted the jobs of a queue earlier.
+	// homesInterval is the time between updates of the list of pools that accepted the jobs of a queue earlier.
 	homesInterval = time.Second
 )
 
@@ -99,7 +99,8 @@
 	return true
 }
 
-// activate creates the allocator at the first cap. If there were no caps in between, the pools may have started anything.
+// activate creates the allocator when there is a cap for the first time. When there are caps again after a time without any, it
+// resets the allocator, because the pools may have started anything meanwhile.
 func (q *quotaLoop) activate(now job.Time) {
 	switch {
 	case q.allocator == nil:
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -108,7 +108,7 @@
 	lastCommitAt      time.Duration // start of the last commit
 	lastStepAt        time.Duration
 	lastStepDuration  time.Duration
-	explainAgainAt    time.Duration // explanations are put off until then
+	explainAgainAt    time.Duration // requests for explanations are answered with codeNotOwner until then
 }
 
 func newShard(n *Node, number int) *shard {
