job, interference: clearer comments on speeds and estimates

Some comments used private words (figures, given back, spend, held back), left out why a constant has its size (learnedDeviations, minLearnedStep, minLatencyRatio) or had to be read twice (knownVariance, overlapped). raiseLearned named only one of the cases in which it returns false.

The names of metrics, events and exported fields are unchanged.

noteFigures is recordReportedSpeeds, mostHarmlessFirst is leastHarmfulFirst, and the comments state rule and reason.

--- a/interference/estimator.go
+++ b/interference/estimator.go
@@ -25,14 +25,14 @@
 	MaxAggressors = 8
 	// defaultMaxKinds bounds the kinds that an Estimator finds by their key.
 	defaultMaxKinds = 2048
-	// priorVariance is that of an effect without evidence. Its standard deviation of 0.5 makes a doubling of the latency
-	// likely enough to be tried with care.
+	// priorVariance is that of an effect without evidence. With its standard deviation of 0.5, a doubling of the latency is not
+	// unlikely.
 	priorVariance = 0.25
-	// knownVariance is the variance below which an effect counts as known. It is less than half of priorVariance, because
-	// two aggressors that always run together are that certain however long they are observed.
+	// knownVariance is the variance below which an effect counts as known. It is less than half of priorVariance, which the
+	// variances for two aggressors that always run together reach although the reports do not tell their effects apart.
 	knownVariance = 0.12
-	// memory is the time constant with which effects and slowness return to their priors. Effects change within seconds;
-	// shorter constants forget a pair between two of its reports.
+	// memory is the time constant with which effects and slowness return to their priors. It must be short because effects change,
+	// but with a shorter one a pair would be forgotten between two of its reports.
 	memory = 30 * time.Second
 	// baseDrift is the growth of the variance of a base per second. It exceeds that of an effect, so that a rise on all
 	// workers counts as load.
--- a/job/interference.go
+++ b/job/interference.go
@@ -9,16 +9,15 @@
 )
 
 const (
-	// settlingTime is how long before a report the tasks and speeds on a worker must have stayed as they are, so that the
-	// reported tail latency shows their effect: half a second that the figure covers, 100 ms until an order takes effect
-	// and 100 ms of transit.
+	// settlingTime is how long before a report the tasks and speeds on a worker must have been unchanged for the reported tail
+	// latency to reflect them: half a second that the latency covers, 100 ms until an order takes effect and 100 ms of transit.
 	settlingTime = 700 * time.Millisecond
-	// candidateWorkers is the number of workers for which the interference with a task to be placed is looked up. The
-	// cost of a start does not grow with the pool.
+	// candidateWorkers is the number of workers for which the interference with a task to be placed is looked up. It is fixed, so
+	// that the cost of a start does not grow with the pool.
 	candidateWorkers = 8
-	// harmfulEffect is the expected effect from which a pair counts as harmful: the tail is a fifth longer.
+	// harmfulEffect is the expected effect from which a pair counts as harmful: the tail latency is a fifth longer.
 	harmfulEffect = 0.18
-	// harmlessEffect is the bound of an effect below which a pair counts as harmless. It is within the noise of one report.
+	// harmlessEffect is the upper bound of an effect below which a pair counts as harmless. It is the noise of one report.
 	harmlessEffect = 0.15
 	// harmlessBonus cancels the deduction in score for each latency-critical task on the worker of a best-effort task.
 	harmlessBonus = 5.0
@@ -46,18 +45,18 @@
 
 // InterferenceStats counts what was done about interference.
 type InterferenceStats struct {
-	Evidence   int64 // reported tails that were learned from
-	NoEvidence int64 // reported tails of tasks with an image that were no evidence
+	Evidence   int64 // reported tail latencies that changed the estimates
+	NoEvidence int64 // reported tail latencies of tasks with an image that did not
 	KeptApart  int64 // placements in which a harmful pair was kept apart
 	Together   int64 // placements in which a harmful pair was not kept apart
-	Raised     int64 // speeds given back beyond the usual step
+	Raised     int64 // speed-ups beyond the usual step
 	FirstSlow  int64 // starts below full speed
 	Kinds      int   // kinds that are known now
 	Pairs      int   // pairs with recent evidence now
 }
 
-// statsInterval is the least time between the stats of a pool: counting the pairs takes longer than a scheduling step of a
-// small pool.
+// statsInterval is the minimum time between the stats of a pool, because counting the pairs takes longer than a scheduling step
+// of a small pool.
 const statsInterval = time.Second
 
 // TakeInterferenceStats returns the counts since the last ones. It returns false if those were taken less than a second
@@ -77,7 +76,7 @@
 	latencyCritical, bestEffort []*run        // in the order of sortedRuns
 	changedAt                   time.Duration // when one of them last started or ended
 	figuresAt                   time.Duration // when the last report arrived
-	raisedAt, checkedAt         time.Duration // when raiseLearned last ordered a speed, and looked for one
+	raisedAt, checkedAt         time.Duration // when raiseLearned last ordered a speed, and when it last looked for one
 }
 
 // latencyCritical reports whether best-effort tasks are slowed for the tasks of the step.
@@ -150,7 +149,7 @@
 		return
 	}
 	c := &w.coLocation
-	w.noteFigures(now)
+	w.recordReportedSpeeds(now)
 	for _, r := range c.latencyCritical {
 		if r.kind == nil {
 			continue
--- a/job/learned.go
+++ b/job/learned.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// learnedInterval is the least time between two records of what was learned. Evidence is forgotten in about half a
-	// minute.
+	// learnedInterval is the minimum time between two records of what was learned. It is short compared with the half a minute
+	// in which evidence is forgotten.
 	learnedInterval = 5 * time.Second
-	// maxLearnedPairs and maxLearnedBytes bound the record, which is not longer than that of a job may be.
+	// maxLearnedPairs and maxLearnedBytes bound the record, so that it is not longer than the record of a job may be.
 	maxLearnedPairs = 64
 	maxLearnedBytes = MaxSpecBytes
 )
--- a/job/speed.go
+++ b/job/speed.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// speedChangeInterval is the minimum time between speed changes on a worker. A change takes effect after about half
-	// a second.
+	// speedChangeInterval is the minimum time between speed changes on a worker. A change takes effect in the reported latencies
+	// after about half a second.
 	speedChangeInterval = 600 * time.Millisecond
 	// slowDownRatio and speedUpRatio are the fractions of a latency target above which best-effort tasks are slowed
 	// down, and below which they are sped up.
@@ -20,17 +20,18 @@
 	// learnedLimit is the fraction of a latency target below which the expected tail latency stays when a speed is chosen
 	// by the estimates of interference. The distance to slowDownRatio covers the noise of one report.
 	learnedLimit = 0.75
-	// learnedDeviations is the number of standard deviations by which effects are taken above their estimates when speed
-	// is given back.
+	// learnedDeviations is the number of standard deviations that are added to estimated effects before a task is sped up, because
+	// a target missed for an estimate that was too low costs more than a slow best-effort task.
 	learnedDeviations = 3
-	// minLearnedStep is the smallest change, in percentage points, that is made by the estimates.
+	// minLearnedStep is the smallest speed-up, in percentage points, that is made by the estimates. Smaller ones are not worth an
+	// order to the worker.
 	minLearnedStep = 5
-	// maxSpeedRepeats bounds how often the order to stop working is repeated. A task that is over its target by its own load
-	// stays so for long, and each repetition is a call to the worker.
+	// maxSpeedRepeats bounds how often the order to stop working is repeated. A task whose own load exceeds its target may stay over
+	// it for long, and each repetition is a call to the worker.
 	maxSpeedRepeats = 2
-	// minFirstSpeed is the lowest first speed, so that a task that is known to be harmful shows whether it still is.
+	// minFirstSpeed is the lowest first speed. A harmful task must do some work, so that reports show whether it still is harmful.
 	minFirstSpeed = 10
-	// minLatencyRatio bounds the ratio from which headroom is computed; a task without requests reports no latency.
+	// minLatencyRatio is a lower bound of the ratio from which headroom is computed. A task without requests reports no latency.
 	minLatencyRatio = 0.05
 )
 
@@ -46,15 +47,15 @@
 	// firstPending states that the first speed is not chosen yet.
 	firstPending bool
 	firstAt      time.Duration // when the first speed was ordered; 0 if it is full speed
-	// overlapped states that the last order may have overtaken the one before.
+	// overlapped states that the last order was sent before the previous one had certainly taken effect, and may have overtaken it.
 	overlapped bool
 	sentAt     time.Duration // when the last order was sent or repeated
 	repeats    int           // of the last order
 }
 
 // adjustSpeeds slows best-effort tasks down when a latency-critical task on their worker approaches its latency target,
-// and speeds them up when there is headroom. What was learned about interference determines the first speed, gives more
-// back where no harm is expected and holds back what is expected to harm. It never delays or reduces a slowdown.
+// and speeds them up when there is headroom. The estimates of interference determine the first speed and the size of speed-ups.
+// They never delay or reduce a slowdown.
 func (p *Pool) adjustSpeeds(now Time) {
 	for _, w := range p.sortedWorkers() {
 		if now.Steady-w.lastReportSentAt > maxReportAge {
@@ -81,7 +82,7 @@
 	}
 }
 
-// setSpeed orders a speed.
+// setSpeed orders a speed for a best-effort run.
 func (p *Pool) setSpeed(r *run, percent int, now Time) {
 	if now.Steady-r.speed.changedAt < settlingTime {
 		r.speed.highest = max(r.speed.highest, r.speedPercent)
@@ -148,8 +149,8 @@
 	return math.Log(fraction / max(minLatencyRatio, r.latencyRatio()))
 }
 
-// noteFigures records which speeds the tail latencies show that a worker has just reported.
-func (w *worker) noteFigures(now Time) {
+// recordReportedSpeeds records which speeds are reflected in the tail latencies that a worker has just reported.
+func (w *worker) recordReportedSpeeds(now Time) {
 	w.coLocation.figuresAt = now.Steady
 	for _, r := range w.coLocation.bestEffort {
 		switch {
@@ -191,18 +192,18 @@
 	return int(points)
 }
 
-// spend takes the effects of a speed-up by percentage points from the headrooms.
+// spend subtracts the effects of a speed-up by percentage points from the headrooms.
 func spend(headrooms, effects []float64, points int) {
 	for i, e := range effects {
 		headrooms[i] -= e * float64(points) / 100
 	}
 }
 
-// setFirstSpeeds chooses the speed of the runs that have just been confirmed. It is full speed unless they are known to
+// setFirstSpeeds chooses the speed of the runs that have just been confirmed. It is full speed unless a run is expected to
 // harm a latency-critical task of the worker.
 //
-// If the target is near, the first speed is at most the one to which the task would be slowed, so that the slowdown of the same
-// moment leaves it out; see choseFirstSpeed.
+// If a latency target is near, the first speed is at most the one to which the run would be slowed. So the slowdown in the
+// same call of adjustSpeeds can leave the run out; see choseFirstSpeed.
 func (p *Pool) setFirstSpeeds(w *worker, worst float64, now Time) {
 	for _, r := range w.coLocation.bestEffort {
 		if !r.speed.firstPending || r.state != runActive {
@@ -234,11 +235,12 @@
 	}
 }
 
-// choseFirstSpeed reports whether the first speed of a run was ordered just now.
+// choseFirstSpeed reports whether the first speed of a run was ordered at the time now.
 func (r *run) choseFirstSpeed(now Time) bool { return r.speed.firstAt == now.Steady }
 
-// raiseLearned speeds up the best-effort tasks of a worker by what was learned about interference. It returns false if the usual
-// step applies to the worker, because not all of its tasks that can interfere have an image.
+// raiseLearned speeds up the best-effort tasks of a worker by the estimates of interference. It returns false if the usual
+// step applies instead, because there is no best-effort task, the estimates are turned off, or not all tasks that can
+// interfere have an image.
 //
 // It does not set lastSpeedChange, so that a slowdown follows a raise without delay.
 func (p *Pool) raiseLearned(w *worker, worst float64, now Time) bool {
@@ -251,7 +253,7 @@
 		return true
 	}
 	c.checkedAt = now.Steady
-	runs := p.mostHarmlessFirst(c, now)
+	runs := p.leastHarmfulFirst(c, now)
 	usual := p.headrooms(w, learnedLimit, now)
 	learned := p.headrooms(w, learnedLimit, now)
 	shown := c.figuresShowSpeeds()
@@ -323,8 +325,8 @@
 	known           bool    // all effects are known
 }
 
-// mostHarmlessFirst returns the best-effort runs of a worker in the order in which speed is given back.
-func (p *Pool) mostHarmlessFirst(c *coLocation, now Time) []raise {
+// leastHarmfulFirst returns the best-effort runs of a worker in the order in which they are sped up.
+func (p *Pool) leastHarmfulFirst(c *coLocation, now Time) []raise {
 	out := make([]raise, 0, len(c.bestEffort))
 	for _, r := range c.bestEffort {
 		x := raise{run: r, known: true}
--- a/job/trial.go
+++ b/job/trial.go
@@ -41,8 +41,8 @@
 	kinds       func()
 }
 
-// saveForTrial copies what a submission of the job with the identifier and a scheduling pass can change. A part that adds state
-// which they change copies it here; TestExplanationChangesNothing compares the whole pool.
+// saveForTrial copies what a submission of the job with the identifier and a scheduling pass can change. State that is added
+// to the pool and that they change must be copied here, too; TestExplanationChangesNothing compares the whole pool.
 func (p *Pool) saveForTrial(id string) *trial {
 	s := &trial{id: id, job: p.jobs[id], pool: *p, kinds: p.interference.estimator.Save()}
 	// The map of all jobs holds the finished ones, too, and only one entry of it changes.
