--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -49,8 +49,8 @@
 	return p, now
 }
 
-// BenchmarkTick measures one scheduling pass under overload: all workers are full and jobs wait. The difference to zero customers is
-// the cost of the shares.
+// BenchmarkTick measures one scheduling pass under overload: all workers are full and jobs wait. The difference to zero
+// customers is the cost of the shares.
 func BenchmarkTick(b *testing.B) {
 	for _, c := range [][2]int{{12, 0}, {50, 0}, {350, 0}, {1000, 0}, {1000, 20}, {1000, 2000}, {10000, 0}, {10000, 20}, {10000, 2000}} {
 		b.Run(fmt.Sprintf("workers=%d/customers=%d", c[0], c[1]), func(b *testing.B) {
--- a/job/interference_test.go
+++ b/job/interference_test.go
@@ -287,7 +287,8 @@
 }
 
 // TestStopBesideHarmedTaskIsRepeated guards against a task that works on beside one over its target, because the only order to
-// stop it was lost or overtaken by the raise before, and against repeating it without end. Tasks without an image get the orders that they got before.
+// stop it was lost or overtaken by the raise before, and against repeating it without end. Tasks without an image get the
+// orders that they got before.
 func TestStopBesideHarmedTaskIsRepeated(t *testing.T) {
 	for image, want := range map[string]int{"x": 3, "": 1} {
 		p := newTestPool(t, "a")
--- a/job/model_test.go
+++ b/job/model_test.go
@@ -131,8 +131,8 @@
 // unreachable reports whether a worker receives nothing.
 func (w *modelWorker) unreachable(now Time) bool { return w.partitioned || now.Steady < w.downUntil }
 
-// settled reports whether the owner has had the time to order an incarnation to stop the late starts of earlier ones. A late start
-// that an incarnation carries out before its first contact with the owner can't be prevented.
+// settled reports whether the owner has had the time to order an incarnation to stop the late starts of earlier ones. A late
+// start that an incarnation carries out before its first contact with the owner can't be prevented.
 func (w *modelWorker) settled(now Time) bool {
 	return w.contactedAt != 0 && now.Steady-w.contactedAt > modelSettling
 }
--- a/jobmanager/requests_test.go
+++ b/jobmanager/requests_test.go
@@ -14,8 +14,8 @@
 	return ErrFenced
 }
 
-// TestReplacedOwnerDeniesNoJob guards against a replaced owner that denies a job which its successor has accepted. A caller took the
-// answer as the acknowledgement of its cancellation, and the job ran on.
+// TestReplacedOwnerDeniesNoJob guards against a replaced owner that denies a job which its successor has accepted. A caller
+// took the answer as the acknowledgement of its cancellation, and the job ran on.
 func TestReplacedOwnerDeniesNoJob(t *testing.T) {
 	c := call{Pool: "p", ID: "unknown"}
 	for name, replaced := range map[string]bool{"owner": false, "replaced owner": true} {
