--- a/interference/estimator.go
+++ b/interference/estimator.go
@@ -1,9 +1,9 @@
 // Package interference estimates how much best-effort tasks lengthen the tail latency of latency-critical tasks on the same
 // worker.
 //
-// An Estimator performs no I/O. The caller steps it with the figures that workers report (Observe) and reads the effect of
-// a pair of kinds (Effect). The current time is an argument; it is the time since an arbitrary origin and must not go back. An Estimator is not safe for
-// concurrent use.
+// An Estimator performs no I/O. The caller steps it with the figures that workers report (Observe) and reads the effect of a
+// pair of kinds (Effect). The current time is an argument; it is the time since an arbitrary origin and must not go back. An
+// Estimator is not safe for concurrent use.
 //
 // The model is, with the tail latency as a fraction of its target (the ratio) and speeds from 0 to 1:
 //
@@ -25,14 +25,14 @@
 	MaxAggressors = 8
 	// defaultMaxKinds bounds the kinds that an Estimator finds by their key.
 	defaultMaxKinds = 2048
-	// priorVariance is that of an effect without evidence. Its standard deviation of 0.5 makes a doubling of the latency
-	// likely enough to be tried with care.
+	// priorVariance is that of an effect without evidence. With its standard deviation of 0.5, a doubling of the latency is not
+	// unlikely.
 	priorVariance = 0.25
-	// knownVariance is the variance below which an effect counts as known. It is less than half of priorVariance, because
-	// two aggressors that always run together are that certain however long they are observed.
+	// knownVariance is the variance below which an effect counts as known. It is less than half of priorVariance, which the
+	// variances for two aggressors that always run together reach although the reports do not tell their effects apart.
 	knownVariance = 0.12
-	// memory is the time constant with which effects and slowness return to their priors. Effects change within seconds;
-	// shorter constants forget a pair between two of its reports.
+	// memory is the time constant with which effects and slowness return to their priors. It must be short because effects change,
+	// but with a shorter one a pair would be forgotten between two of its reports.
 	memory = 30 * time.Second
 	// baseDrift is the growth of the variance of a base per second. It exceeds that of an effect, so that a rise on all
 	// workers counts as load.
--- a/job/trial.go
+++ b/job/trial.go
@@ -36,13 +36,13 @@
 	tasks       savedValues[task]
 	workers     savedValues[worker]
 	uses        savedValues[customerUse]
-	parties     savedValues[party]
+	tenants     savedValues[tenant]
 	advice      savedValues[advice]
 	kinds       func()
 }
 
-// saveForTrial copies what a submission of the job with the identifier and a scheduling pass can change. A part that adds state
-// which they change copies it here; TestExplanationChangesNothing compares the whole pool.
+// saveForTrial copies what a submission of the job with the identifier and a scheduling pass can change. State that is added
+// to the pool and that they change must be copied here, too; TestExplanationChangesNothing compares the whole pool.
 func (p *Pool) saveForTrial(id string) *trial {
 	s := &trial{id: id, job: p.jobs[id], pool: *p, kinds: p.interference.estimator.Save()}
 	// The map of all jobs holds the finished ones, too, and only one entry of it changes.
@@ -53,8 +53,8 @@
 	for _, u := range p.quota.uses {
 		s.uses.save(u)
 	}
-	for _, c := range p.shares.parties {
-		s.parties.save(c)
+	for _, c := range p.shares.tenants {
+		s.tenants.save(c)
 	}
 	for _, a := range p.advice {
 		c := s.advice.save(a)
@@ -92,7 +92,7 @@
 	s.tasks.restore()
 	s.workers.restore()
 	s.uses.restore()
-	s.parties.restore()
+	s.tenants.restore()
 	s.advice.restore()
 	s.kinds()
 }
