tests: crowds meet two nodes, callers that stay and a lease that must hold

The crowds met one node, and only requests on connections of their own were checked. Not checked were: a node that passes calls on to another one, callers with an open connection, the renewal of leases while the crowd stays, a log that nobody reads, and a store that refuses a record above its limit. Ruled out for these: a second process of the store, since the stand-in in the test is not measured.

Now two nodes meet a crowd together, ordinary requests go to both by turns, one caller keeps its connection, and a lasting task must still be in its first run afterwards.

--- a/connlimit/system_test.go
+++ b/connlimit/system_test.go
@@ -30,6 +30,8 @@
 	// memoryMB and maxFDs are the limits in the settings of the processes, and the bounds that the tests check.
 	memoryMB = 96
 	maxFDs   = 600
+	// recordBytes is the largest record that the store accepts.
+	recordBytes = 262_144
 	// waitTimeout limits each wait for a condition. No check depends on its value.
 	waitTimeout = 60 * time.Second
 )
@@ -43,6 +45,15 @@
 	request func() bool       // sends an ordinary request and reports whether it was served
 	submit  string            // start of the head of a request with a body to the callers' port
 	peakFDs atomic.Int64
+	jobs    atomic.Int64 // jobs that crowds have submitted
+	twin    *process     // another node of the system, or nil; every second client goes to it
+	// reuse sends an ordinary request on the connection of the previous one, and reports whether it was served. It is nil
+	// for systems without such a check.
+	reuse func() bool
+	// verify checks the state of the system after the crowd; it may be nil.
+	verify func()
+	// logPaused stops the reader of the process's output.
+	logPaused atomic.Bool
 }
 
 // addrs returns n free addresses of a loopback IP of its own, so that no outgoing connection takes one of them.
@@ -79,9 +90,9 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	defer out.Close()
+	p.t.Cleanup(func() { _ = out.Close() })
 	p.cmd, p.exited = exec.Command(binary, append(args, file)...), make(chan struct{})
-	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.Stdout, p.cmd.Stderr = logWriter{p, out}, out
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
@@ -90,6 +101,7 @@
 		close(p.exited)
 	}()
 	p.t.Cleanup(func() {
+		p.logPaused.Store(false)
 		_ = p.cmd.Process.Signal(syscall.SIGKILL)
 		<-p.exited
 		if data, err := os.ReadFile(log); err == nil && p.t.Failed() {
@@ -99,6 +111,20 @@
 	go p.watchFDs()
 }
 
+// logWriter writes the output of a process unless its reader is paused.
+type logWriter struct {
+	p *process
+	io.Writer
+}
+
+// Write implements io.Writer.
+func (w logWriter) Write(b []byte) (int, error) {
+	for w.p.logPaused.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return w.Writer.Write(b)
+}
+
 // watchFDs records the greatest number of open descriptors until the process exits.
 func (p *process) watchFDs() {
 	for {
@@ -165,6 +191,18 @@
 
 // startJobs starts a node of the job manager beside stand-ins of the store, the workers and the machines.
 func startJobs(t *testing.T, binary string) *process {
+	t.Helper()
+	return startNodes(t, binary, 1)
+}
+
+// startPair starts two nodes of the job manager. Ordinary requests go to both by turns, so that half of them are passed on to the
+// owner of the queue.
+func startPair(t *testing.T, binary string) *process {
+	t.Helper()
+	return startNodes(t, binary, 2)
+}
+
+func startNodes(t *testing.T, binary string, n int) *process {
 	t.Helper()
 	store := standin.NewStore(4)
 	var workers []*standin.Worker
@@ -174,32 +212,84 @@
 		workers = append(workers, w)
 		store.Put("keyed.servers", w.ID, w.Entry())
 	}
+	store.RecordBytes = recordBytes
 	config := strings.Replace(string(standin.Config(1, "pool")), `"maxBodyBytes":100000`, `"maxBodyBytes":262144`, 1)
 	store.Put("keyed.op", "config", []byte(config))
 	storeHTTP, machines := httptest.NewServer(store), httptest.NewServer(standin.NewMachines(workers))
 	t.Cleanup(storeHTTP.CloseClientConnections)
 	t.Cleanup(machines.CloseClientConnections)
-	a := addrs(t, 4)
-	p := &process{
-		t: t, ports: map[string]string{"callers": a[0], "readiness": a[1], "admin": a[2], "peers": a[3]},
-		submit: "POST /q/%016x HTTP/1.1\r\nHost: h\r\n",
+	start := func(name string) *process {
+		a := addrs(t, 4)
+		p := &process{
+			t: t, ports: map[string]string{"callers": a[0], "readiness": a[1], "admin": a[2], "peers": a[3]},
+			submit: "POST /q/%016x HTTP/1.1\r\nHost: h\r\n",
+		}
+		p.start(binary, jobmanager.Settings{
+			Node: name, Zone: "z", Callers: a[0], Readiness: a[1], Admin: a[2], Peers: a[3], PeerKey: "a key of the tests",
+			Store: storeHTTP.Listener.Addr().String(), Machines: machines.Listener.Addr().String(), Shards: 4,
+			MemoryMB: memoryMB, MaxFDs: maxFDs,
+			Limits: jobmanager.Limits{
+				MaxLeaseMs: 6000, GraceS: 2, StatusS: 120, CrossRackFactor: 2, OrderLeaseMs: 1000, CallBytes: 2 << 20, RecordBytes: recordBytes,
+			},
+		}, "jobs", "--settings")
+		return p
+	}
+	p := start("n0")
+	nodes := []*process{p}
+	if n > 1 {
+		p.twin = start("n1")
+		nodes = append(nodes, p.twin)
 	}
 	jobs := 0
 	p.request = func() bool {
 		jobs++
-		url := fmt.Sprintf("http://%s/q/%016x", a[0], 1<<40+jobs)
+		url := fmt.Sprintf("http://%s/q/%016x", nodes[jobs%n].ports["callers"], 1<<40+jobs)
 		return answers(http.MethodPost, url, "h", nil, `{"spec":"x","steps":[{"count":1,"cpu":100,"estimateMs":10}]}`, http.StatusOK)
 	}
-	p.start(binary, jobmanager.Settings{
-		Node: "n0", Zone: "z", Callers: a[0], Readiness: a[1], Admin: a[2], Peers: a[3], PeerKey: "a key of the tests",
-		Store: storeHTTP.Listener.Addr().String(), Machines: machines.Listener.Addr().String(), Shards: 4,
-		MemoryMB: memoryMB, MaxFDs: maxFDs,
-		Limits: jobmanager.Limits{MaxLeaseMs: 6000, GraceS: 2, StatusS: 120, CrossRackFactor: 2, OrderLeaseMs: 1000, CallBytes: 1 << 20},
-	}, "jobs", "--settings")
-	p.waitFor("ready", p.request)
+	for range 2 * n {
+		p.waitFor("ready", p.request)
+	}
+	p.lastingJob(workers, nodes)
 	return p
 }
 
+// lastingJob submits a job whose task runs until the test ends. A caller asks for its state on a connection that stays open, and the
+// lease of its worker must never lapse.
+func (p *process) lastingJob(workers []*standin.Worker, nodes []*process) {
+	p.t.Helper()
+	const path = "/q/00000000000000aa"
+	callers := nodes[len(nodes)-1].ports["callers"]
+	p.waitFor("the lasting job is accepted", func() bool {
+		return answers(http.MethodPost, "http://"+callers+path, "h", nil, `{"spec":"lasting","steps":[{"count":1,"cpu":100,"daemon":true}]}`, http.StatusOK)
+	})
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
+	p.t.Cleanup(client.CloseIdleConnections)
+	p.reuse = func() bool {
+		req, err := http.NewRequest(http.MethodGet, "http://"+callers+path, nil)
+		if err != nil {
+			return false
+		}
+		req.Host = "h"
+		resp, err := client.Do(req)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && string(body) == `{"state":"running"}`
+	}
+	p.waitFor("the lasting job runs", p.reuse)
+	p.verify = func() {
+		for _, w := range workers {
+			for _, r := range w.Runs() {
+				if r.Spec == "lasting" && !r.EndedAt.IsZero() {
+					p.t.Errorf("run %d of the lasting task ended as %s", r.Run, r.Outcome)
+				}
+			}
+		}
+	}
+}
+
 // startEntry starts an entry daemon beside stand-ins of the platform and of a backend server.
 func startEntry(t *testing.T, binary string) *process {
 	t.Helper()
