peer: a newer handshake ends the oldest one instead of being refused

Callers at a node that passes calls on saw 503 while 32 clients without a key held the handshakes of the owner's listener, each for up to 5 s. The cause was that further connections were refused, those of nodes too. Memory and descriptors were ruled out: that crowd stayed within both. Now the oldest handshake is ended when there are more than 32; a node needs a few round trips.

TestHandshakesOfOthers failed on ("linked only after all but 0 of the others had left") and passes 20 of 20 times.

--- a/peer/net.go
+++ b/peer/net.go
@@ -29,10 +29,12 @@
 	// ErrMalformed is returned by a handler for a body that does not decode. It ends the link.
 	ErrMalformed = errors.New("malformed message")
 
-	errBusy      = errors.New("too many requests at once")
-	errDuplicate = errors.New("another link to the node is in use")
-	errSelf      = errors.New("the address is this node's own")
-	errClosed    = errors.New("shutting down")
+	errBusy = errors.New("too many requests at once")
+
+	errTooManyHandshakes = errors.New("newer handshakes have replaced this one")
+	errDuplicate         = errors.New("another link to the node is in use")
+	errSelf              = errors.New("the address is this node's own")
+	errClosed            = errors.New("shutting down")
 )
 
 // RemoteError is an error returned by the handler of another node.
@@ -50,9 +52,6 @@
 // linkPath is the HTTP path of the WebSocket endpoint.
 const linkPath = "/peer"
 
-// maxHandshakes is the maximum number of accepted connections that are not yet authenticated.
-const maxHandshakes = 32
-
 // Handler handles a message. For a one-way message the reply is ignored, and the handler must not block.
 type Handler func(ctx context.Context, from string, body Body) (reply any, err error)
 
@@ -83,11 +82,11 @@
 	key []byte
 	log *logrus.Logger
 
-	ctx            context.Context
-	cancel         context.CancelCauseFunc
-	wg             sync.WaitGroup
-	client         *http.Client
-	handshakeSlots chan struct{} // one element per handshake in progress
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	wg         sync.WaitGroup
+	client     *http.Client
+	handshakes pendingHandshakes
 
 	mu                 sync.Mutex
 	currentIncarnation uint64
@@ -122,7 +121,6 @@
 		key:                []byte(cfg.Key),
 		log:                cfg.Log,
 		client:             &http.Client{Transport: &http.Transport{Proxy: nil}},
-		handshakeSlots:     make(chan struct{}, maxHandshakes),
 		handlers:           make(map[string]Handler),
 		links:              make(map[string]*link),
 		targets:            make(map[string]*target),
@@ -187,32 +185,33 @@
 		http.Error(w, "address not allowed", http.StatusForbidden)
 		return
 	}
-	select {
-	case n.handshakeSlots <- struct{}{}:
-	default:
-		http.Error(w, "too many handshakes", http.StatusServiceUnavailable)
-		return
-	}
 	if !n.addGoroutine() {
-		<-n.handshakeSlots
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 		return
 	}
 	defer n.wg.Done()
-	c, err := websocket.Accept(w, r, nil)
+	c, other, err := n.authenticate(w, r)
 	if err != nil {
-		<-n.handshakeSlots
 		n.log.Warnf("peer: refused %s: %v", r.RemoteAddr, err)
 		return
 	}
-	other, err := handshake(n.ctx, c, n.key, n.hello(), nil)
-	<-n.handshakeSlots
+	n.runLink(newLink(n, c, other, false))
+}
+
+// authenticate makes a WebSocket connection of a request and performs the handshake on it.
+func (n *Net) authenticate(w http.ResponseWriter, r *http.Request) (*websocket.Conn, hello, error) {
+	ctx, pending := n.handshakes.begin(n.ctx)
+	defer n.handshakes.end(pending)
+	c, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, hello{}, err
+	}
+	other, err := handshake(ctx, c, n.key, n.hello(), nil)
 	if err != nil {
-		n.log.Warnf("peer: refused %s: %v", r.RemoteAddr, err)
 		_ = c.CloseNow()
-		return
+		return nil, other, err
 	}
-	n.runLink(newLink(n, c, other, false))
+	return c, other, nil
 }
 
 // SetIncarnation sets the incarnation sent in heartbeats and in the handshakes of new links.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -296,6 +297,29 @@
 	}
 }
 
+// TestHandshakesOfOthers guards against clients that never authenticate and keep the nodes from linking, while they stay.
+func TestHandshakesOfOthers(t *testing.T) {
+	a := start(t, "a", nil)
+	var open atomic.Int32
+	for range 2 * maxHandshakes {
+		c, _, err := websocket.Dial(t.Context(), "ws://"+a.addr()+linkPath, nil) //nolint:bodyclose // a websocket has none
+		if err != nil {
+			continue // the node may refuse it
+		}
+		open.Add(1)
+		go func() {
+			_, _, _ = c.Read(t.Context())
+			open.Add(-1)
+		}()
+	}
+	b := start(t, "b", nil)
+	b.SetTargets([]Target{{Addr: a.addr()}})
+	eventually(t, "linked", func() bool { return echo(b.Net, "a", "x") == nil })
+	if n := open.Load(); n < maxHandshakes/2 {
+		t.Errorf("linked only after all but %d of the others had left", n)
+	}
+}
+
 // TestPanicOfHandler guards against one message that ends the process or the link of its sender.
 func TestPanicOfHandler(t *testing.T) {
 	panics := make(chan string, 2)
