jobmanager: a waiting log line holds at most 256 bytes of a client's text

Operators saw a node exceed its memory when clients sent refused requests with long paths while the log was read slowly. Each of the 4,096 lines that may wait held the path of its request and the string of which the identifier is a part, 30 KB. The connections were ruled out: their charges stayed within the budget. Now a line holds a copy of the first 256 bytes, which does not depend on how fast the log is written.

--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,12 +16,15 @@
 // logging never blocks.
 const logQueueSize = 4096
 
+// maxClientText is the length in bytes to which text of clients is cut. Lines that wait would otherwise hold much memory.
+const maxClientText = 256
+
 // LogEvent is one line of the log. Zero fields are omitted.
 type LogEvent struct {
 	Component string // prefix of the message
 	Event     string // text of the message after the prefix
-	Job       string
-	Queue     string
+	Job       string // at most maxClientText bytes, since it may come from a client
+	Queue     string // likewise
 	Customer  string
 	Pool      string
 	Task      string
@@ -83,6 +87,7 @@
 // Event queues a line for writing. It never blocks.
 func (l *Log) Event(e LogEvent) {
 	e.at = time.Now()
+	e.Job, e.Queue = cutClientText(e.Job), cutClientText(e.Queue)
 	select {
 	case l.queue <- e:
 	default:
@@ -90,6 +95,9 @@
 	}
 }
 
+// cutClientText returns a copy of the beginning of s, so that a line does not keep the whole request in memory.
+func cutClientText(s string) string { return strings.Clone(s[:min(len(s), maxClientText)]) }
+
 // Close writes all queued lines and stops the log.
 func (l *Log) Close() {
 	close(l.queue)
