connlimit: the number of connections follows the descriptors that the process may really open

A process whose real limit of descriptors is below its settings accepted connections by the settings, until it had none left for its calls to the store, the workers and other nodes. The cause: the real limit was asked for only when the settings named none. Now the lower of the two counts, and an explicit number of connections is lowered to what follows from it. Ruled out: to refuse the start, because the node can serve with what it has.

TestLimits has the case.

--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -74,7 +74,7 @@
 // NewAccount returns the account of a process with the limits. Refusals are reported to report, which must not block.
 func NewAccount(limits Limits, report func(Refusal)) *Account {
 	a := &Account{started: time.Now(), conns: make(map[*Conn]struct{})}
-	a.limit, a.maxConns, a.soft = limits.budget()
+	a.limit, a.maxConns, a.soft = limits.budget(processFDs())
 	a.requests = a.limit - a.limit/acceptDivisor
 	a.refusals.init(report)
 	return a
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -336,17 +336,22 @@
 func TestLimits(t *testing.T) {
 	for _, c := range []struct {
 		l         Limits
+		open      int64 // descriptors that the process may open
 		memory    int64
 		conns     int
 		softBelow int64
 	}{
-		{Limits{MemoryMB: 184, MaxFDs: 4100}, 64, 1268, 184 << 20},
-		{Limits{MemoryMB: 536, MaxFDs: 8192}, 187, 3694, 536 << 20},
-		{Limits{MemoryMB: 536, MaxFDs: 300}, 187, 50, 536 << 20},
-		{Limits{MaxFDs: 4100}, 64, 1268, 1},
-		{Limits{MemoryMB: 184, MaxFDs: 4100, ClientMemoryMB: 20, MaxConns: 30}, 20, 30, 184 << 20},
+		{Limits{MemoryMB: 184, MaxFDs: 4100}, 20000, 64, 1268, 184 << 20},
+		{Limits{MemoryMB: 536, MaxFDs: 8192}, 20000, 187, 3694, 536 << 20},
+		{Limits{MemoryMB: 536, MaxFDs: 300}, 20000, 187, 50, 536 << 20},
+		{Limits{MaxFDs: 4100}, 20000, 64, 1268, 1},
+		{Limits{MemoryMB: 184, MaxFDs: 4100, ClientMemoryMB: 20, MaxConns: 30}, 20000, 20, 30, 184 << 20},
+		// The process may open fewer descriptors than the settings say.
+		{Limits{MemoryMB: 184, MaxFDs: 4100}, 1024, 64, 412, 184 << 20},
+		{Limits{MemoryMB: 184, MaxFDs: 4100, MaxConns: 2000}, 256, 64, 28, 184 << 20},
+		{Limits{}, 1024, 64, 412, 1},
 	} {
-		memory, conns, soft := c.l.budget()
+		memory, conns, soft := c.l.budget(c.open)
 		if memory>>20 != c.memory || conns != c.conns || soft >= c.softBelow {
 			t.Errorf("%+v: %d MB, %d connections, soft limit %d MB", c.l, memory>>20, conns, soft>>20)
 		}
--- a/connlimit/limits.go
+++ b/connlimit/limits.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"math"
 	"os"
 	"runtime/debug"
 	"syscall"
@@ -32,35 +33,42 @@
 
 // budget returns the memory for clients in bytes, the number of connections, and the soft limit of the runtime's memory in
 // bytes, 0 for none.
-func (l Limits) budget() (memory int64, conns int, soft int64) {
+//
+// processFDs is the number of descriptors that the process may open, which holds where it is less than MaxFDs.
+func (l Limits) budget(processFDs int64) (memory int64, conns int, soft int64) {
 	if l.MemoryMB > 0 {
 		soft = l.MemoryMB << 20 / 100 * softPercent
 	} else {
 		l.MemoryMB = defaultMemoryMB
 	}
+	lowered := l.MaxFDs > processFDs
 	if l.MaxFDs <= 0 {
-		l.MaxFDs = processFDs()
+		l.MaxFDs = defaultMaxFDs
 	}
+	l.MaxFDs = min(l.MaxFDs, processFDs)
 	if l.ClientMemoryMB > 0 {
 		memory = l.ClientMemoryMB << 20
 	} else {
 		memory = l.MemoryMB << 20 / 100 * clientPercent
 	}
-	if l.MaxConns > 0 {
-		return memory, int(l.MaxConns), soft
-	}
 	// The other half is for calls to workers, the store and other nodes.
-	n := min((l.MaxFDs-fileReserve)/2, memory/2/connCost)
-	return memory, int(max(minConns, n)), soft
+	n := max(minConns, min((l.MaxFDs-fileReserve)/2, memory/2/connCost))
+	switch {
+	case l.MaxConns > 0 && lowered:
+		n = min(n, l.MaxConns)
+	case l.MaxConns > 0:
+		n = l.MaxConns
+	}
+	return memory, int(n), soft
 }
 
-// processFDs returns the number of descriptors that the process may open, at most that of the smallest machines.
+// processFDs returns the number of descriptors that the process may open.
 func processFDs() int64 {
 	var r syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil || r.Cur > defaultMaxFDs {
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
 		return defaultMaxFDs
 	}
-	return int64(r.Cur)
+	return int64(min(r.Cur, math.MaxInt64))
 }
 
 // LimitRuntime sets the soft limit of the runtime's memory, unless the environment sets one or the memory of the machine is
