connlimit: a client that reads no response makes room for others

Callers were refused for 30 s while as many clients as a process accepts read none of their large responses. The account took a connection whose response is written for one at work and closed none of them. Now it may close one when the place is needed and a single write has made no progress for 5 s; a slow reader whose writes complete is not concerned, and without need nothing changes (30 s as before). Ruled out: small responses, which fit into the kernel's buffers.

--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -210,8 +210,8 @@
 	return closedSelf
 }
 
-// candidates returns the connections whose request is not complete and that have been in their phase for at least the given
-// time, in descending order of charge times duration. The caller holds mu.
+// candidates returns the connections that have been closable for at least the given time, in descending order of charge times
+// duration. The caller holds mu.
 func (a *Account) candidates(age time.Duration) []*Conn {
 	type candidate struct {
 		c      *Conn
@@ -220,11 +220,11 @@
 	now := a.now()
 	list := make([]candidate, 0, len(a.conns))
 	for c := range a.conns {
-		since := now - c.since.Load()
-		if c.closed.Load() || since < int64(age) || !c.incomplete() {
+		since, closable := c.closableSince(now)
+		if c.closed.Load() || !closable || now-since < int64(age) {
 			continue
 		}
-		weight := float64(c.charged.Load()) * float64(since)
+		weight := float64(c.charged.Load()) * float64(now-since)
 		if c.phase.Load() == phaseIdle {
 			weight /= idleDivisor
 		}
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -18,6 +18,8 @@
 	// largeHead is the charge of a connection above which its head counts as large. A head of ordinary lines that fills net/http's
 	// read buffer three times costs less.
 	largeHead = connCost + 64<<10
+	// blockedWrite is the time without progress of a response after which its connection may be closed for others.
+	blockedWrite = 5 * time.Second
 	// writeStall is how long a response may make no progress.
 	writeStall = 30 * time.Second
 	// refusalTimeout limits the time for sending a refusal, because the client may not read it.
@@ -60,6 +62,8 @@
 	answering    atomic.Bool  // a part of the response to the current request was sent
 	writeUntil   atomic.Int64 // Unix time in nanoseconds of the write deadline that was set by Write, 0 for none
 
+	writing atomic.Int64 // when the Write in progress began, in Account.now, 0 for none
+
 	// streams and reading count the open HTTP/2 requests and those whose body is not complete.
 	streams, reading atomic.Int32
 
@@ -74,20 +78,24 @@
 	stalled           bool // the deadline of its body has passed
 }
 
-// incomplete reports whether the connection may be closed to free memory or descriptors: it has no request, or one that was
-// not received completely.
-func (c *Conn) incomplete() bool {
+// closableSince reports whether the connection may be closed to free memory or descriptors: it has no request, one that was not
+// received completely, or a client that does not read the response. It returns since when, in Account.now.
+func (c *Conn) closableSince(now int64) (since int64, closable bool) {
+	if w := c.writing.Load(); w != 0 && now-w >= int64(blockedWrite) {
+		return w, true
+	}
+	since = c.since.Load()
 	switch c.phase.Load() {
 	case phaseNew, phaseHead, phaseIdle:
 		// A small head that waits for memory is not the client's fault, and it is refused after maxWait. A large part of a head
 		// that waits holds memory that other requests may need in order to complete, and so does a body.
-		return !c.waiting.Load() || c.charged.Load() > largeHead
+		return since, !c.waiting.Load() || c.charged.Load() > largeHead
 	case phaseBody:
-		return true
+		return since, true
 	case phaseStreams:
-		return c.streams.Load() == c.reading.Load()
+		return since, c.streams.Load() == c.reading.Load()
 	}
-	return false
+	return since, false
 }
 
 func (c *Conn) setPhase(phase int32) {
@@ -277,7 +285,10 @@
 	if c.phase.Load() != phaseHijacked {
 		c.answering.Store(true)
 		now := time.Now()
-		c.wrote.Store(int64(now.Sub(c.a.started)))
+		began := int64(now.Sub(c.a.started))
+		c.wrote.Store(began)
+		c.writing.Store(began)
+		defer c.writing.Store(0)
 		if until := c.writeUntil.Load(); until < now.Add(writeStall/2).UnixNano() {
 			end := now.Add(writeStall)
 			c.writeUntil.Store(end.UnixNano())
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -258,6 +259,64 @@
 	}
 }
 
+// awaitServing waits until the handlers of n connections run.
+func awaitServing(t *testing.T, a *Account, n int) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		a.mu.Lock()
+		serving := 0
+		for c := range a.conns {
+			if c.phase.Load() == phaseServing && c.answering.Load() {
+				serving++
+			}
+		}
+		a.mu.Unlock()
+		if serving == n {
+			return
+		}
+	}
+	t.Fatalf("no %d connections are served", n)
+}
+
+// TestUnreadResponses guards against clients that do not read their responses and keep all others out while they stay.
+func TestUnreadResponses(t *testing.T) {
+	a := NewAccount(Limits{MaxConns: 16}, nil)
+	addr := serve(t, a, Server{Name: "callers"}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, 16<<20))
+		}
+	})
+	var left atomic.Int32
+	for range 16 {
+		c, _ := dial(t, addr)
+		_ = c.SetDeadline(time.Time{})
+		_, _ = io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		left.Add(1)
+		go func() {
+			// Reads nothing until the server has closed the connection.
+			for _, err := c.Write([]byte("x")); err == nil; _, err = c.Write([]byte("x")) {
+				time.Sleep(20 * time.Millisecond)
+			}
+			left.Add(-1)
+		}()
+	}
+	awaitServing(t, a, 16)
+	served := func() bool {
+		c, r := dial(t, addr)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, err := http.ReadResponse(r, nil)
+		return err == nil
+	}
+	for end := time.Now().Add(2 * writeStall); !served(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no request was served")
+		}
+	}
+	if n := left.Load(); n < 8 {
+		t.Errorf("served only when all but %d of the others were closed", n)
+	}
+}
+
 // TestHTTP2 guards against streams that are not charged and against a multiplexed connection that is taken for a body.
 func TestHTTP2(t *testing.T) {
 	a := NewAccount(Limits{}, nil)
