connlimit: an open request of HTTP/2 is charged until its stream is closed

The entry daemon exceeded its memory when clients opened many small requests of HTTP/2 and accepted no response, or sent no body. Such a request was charged with its head, 1 KB, until its handler returned, and takes 25 KB until its response is sent. A connection has at most 50 open requests, before 100; well-behaved clients wait for the announced number. Ruled out: heads, bodies and connections, which were charged and limited, and to wait for memory, since very many requests would wait.

--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -15,8 +15,12 @@
 	// allowance is what a request may cost without a further charge, so that ordinary requests of HTTP/1 do not contend for the
 	// account. A head of 10 lines and a short body cost about 5 KB.
 	allowance = 6 << 10
-	// streamsCost is charged in addition for a connection that uses HTTP/2: receive buffers, header table and one header block.
-	streamsCost = 128 << 10
+	// streamsCost is charged in addition for a connection that uses HTTP/2: receive buffers, header table, one header block and
+	// the first includedStreams of the requests that are open at the same time.
+	streamsCost     = 128<<10 + includedStreams*streamCost
+	includedStreams = 2
+	// streamCost is charged for each further request: goroutines, structures of the request and write buffer of the response.
+	streamCost = 24 << 10
 	// maxWait limits how long a reader waits for memory before its request is refused.
 	maxWait = time.Second
 	// minAge is the time in a phase before a connection may be closed to free memory. The rest of a request that the client has
@@ -24,6 +28,8 @@
 	minAge = 200 * time.Millisecond
 	// reclaimInterval is how often a waiting reader looks for connections that have become slow.
 	reclaimInterval = minAge + 50*time.Millisecond
+	// reclaimPause is the time between two attempts to free memory for requests of HTTP/2.
+	reclaimPause = 20 * time.Millisecond
 	// 1/reclaimDivisor of the memory is freed at once when it is exhausted. If only the need of one reader were freed, all
 	// connections would be sorted again for every reader.
 	reclaimDivisor = 8
@@ -53,8 +59,9 @@
 	started  time.Time
 	refusals refusals
 
-	used    atomic.Int64 // bytes charged
-	waiters atomic.Int64 // length of queue
+	used        atomic.Int64 // bytes charged
+	waiters     atomic.Int64 // length of queue
+	reclaimedAt atomic.Int64 // when memory was last freed for a request of HTTP/2, in now
 
 	queueMu sync.Mutex
 	queue   []*waiter
@@ -108,6 +115,25 @@
 	return nil
 }
 
+// chargeAtOnce charges n bytes for a connection, or returns ErrRefused if they do not fit. It closes other connections then, but
+// does not wait for their memory.
+func (a *Account) chargeAtOnce(c *Conn, n int64) error {
+	if !a.take(n) {
+		a.reclaimForStreams(c, n)
+		return ErrRefused
+	}
+	c.charged.Add(n)
+	return nil
+}
+
+// reclaimForStreams frees memory for requests of HTTP/2, at most once in reclaimPause, because very many may be refused at once.
+func (a *Account) reclaimForStreams(c *Conn, n int64) {
+	last, now := a.reclaimedAt.Load(), a.now()
+	if now-last >= int64(reclaimPause) && a.reclaimedAt.CompareAndSwap(last, now) {
+		a.freeMemory(c, n)
+	}
+}
+
 // release returns n charged bytes to the account and serves the readers that wait.
 func (a *Account) release(n int64) {
 	if n == 0 {
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -37,6 +37,9 @@
 	phaseHijacked              // the connection belongs to the handler
 )
 
+// refusalRetry is the Retry-After of a refusal: by then, slow connections have been closed.
+const refusalRetry = time.Second
+
 // refusal is the response to a request for which there was no memory.
 var refusal = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
 	verdict.Header + ": " + string(verdict.NotRun) + "\r\nContent-Length: " + strconv.Itoa(len(refusalBody)) + "\r\n\r\n" + refusalBody)
@@ -64,8 +67,9 @@
 
 	writing atomic.Int64 // when the Write in progress began, in Account.now, 0 for none
 
-	// streams and reading count the open HTTP/2 requests and those whose body is not complete.
-	streams, reading atomic.Int32
+	// streams counts the open HTTP/2 requests, reading those whose body is not complete, and responding those whose handler
+	// writes the response or has returned.
+	streams, reading, responding atomic.Int32
 
 	wrote atomic.Int64 // when Write was last called, in Account.now
 
@@ -93,7 +97,8 @@
 	case phaseBody:
 		return since, true
 	case phaseStreams:
-		return since, c.streams.Load() == c.reading.Load()
+		streams, reading := c.streams.Load(), c.reading.Load()
+		return since, streams == reading || (streams <= reading+c.responding.Load() && now-since >= int64(blockedWrite))
 	}
 	return since, false
 }
--- a/connlimit/crowd_test.go
+++ b/connlimit/crowd_test.go
@@ -226,7 +226,10 @@
 }
 
 // streamLoads are crowds at a listener with HTTP/2.
-var streamLoads = []load{}
+var streamLoads = []load{
+	{name: "HTTP/2 responses that are not accepted", port: "callers", conns: manyConns, act: blockedStreams},
+	{name: "HTTP/2 bodies that do not come", port: "callers", conns: manyConns, act: openStreams},
+}
 
 // TestCrowds guards against clients of any kind that make a process exceed the memory or the descriptors of its machine,
 // end it, or keep it from serving an ordinary request. Each crowd meets a new process.
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -4,10 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
-
-	"github.com/berylwharf/berylwharf/verdict"
 )
 
 const (
@@ -69,39 +66,6 @@
 	h.next.ServeHTTP(w, r)
 }
 
-// serveStream serves a request of HTTP/2. The server has decoded its head, whose size HTTP2Config limits.
-func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, c *Conn) {
-	var charged atomic.Int64
-	defer func() { c.release(charged.Load()) }()
-	n, lines := 0, 0
-	for name, values := range r.Header {
-		for _, v := range values {
-			n, lines = n+len(name)+len(v), lines+1
-		}
-	}
-	cost := headCost(n, lines)
-	c.streams.Add(1)
-	defer func() {
-		c.streams.Add(-1)
-		c.since.Store(c.a.now())
-	}()
-	if err := c.a.charge(c, cost); err != nil {
-		h.a.refusals.add(HeadRefused, h.server.Name)
-		e := verdict.Wrap(err, verdict.NotRun, verdict.ReasonQueueFull, http.StatusServiceUnavailable, "no memory left")
-		e.RetryAfter = time.Second
-		e.Write(w, "", "")
-		return
-	}
-	charged.Add(cost)
-	if r.Body != nil && r.Body != http.NoBody {
-		b := &body{ReadCloser: r.Body, r: r, c: c, server: h.server, stream: &charged}
-		r.Body = b
-		c.reading.Add(1)
-		defer b.complete()
-	}
-	h.next.ServeHTTP(w, r)
-}
-
 // release releases a part of the connection's charge.
 func (c *Conn) release(n int64) {
 	// Close may have released all of it already.
@@ -122,7 +86,7 @@
 	c      *Conn
 	server Server
 	start  time.Time     // zero if the whole body came with its head
-	stream *atomic.Int64 // charge of an HTTP/2 request, nil for HTTP/1
+	stream *streamCharge // nil for HTTP/1
 
 	received, extended int64 // bytes received so far, and those received when the deadline was last extended
 	credit             int64 // bytes that are charged and not used yet
@@ -173,7 +137,7 @@
 	if b.stream != nil {
 		// The streams of a connection run concurrently, and its allowance is not safe for concurrent use.
 		if err = b.c.a.charge(b.c, n); err == nil {
-			b.stream.Add(n)
+			b.stream.add(n)
 		}
 	} else if err = b.c.chargeRequest(n); err != nil {
 		b.c.refuse()
@@ -206,13 +170,7 @@
 	if len(b.r.Trailer) == 0 {
 		return nil
 	}
-	n, lines := 0, 0
-	for name, values := range b.r.Trailer {
-		for _, v := range values {
-			n, lines = n+len(name)+len(v), lines+1
-		}
-	}
-	return b.charge(b.credit + headCost(n, lines))
+	return b.charge(b.credit + headerCost(b.r.Trailer))
 }
 
 // extend sets the deadline of the body. The requests of an HTTP/2 connection have no deadline of their own; the connection
--- a/connlimit/protect.go
+++ b/connlimit/protect.go
@@ -18,7 +18,7 @@
 	// read.
 	readBuffer = 64 << 10
 	// Limits of an HTTP/2 connection, so that streamsCost covers its buffers.
-	maxStreams      = 100
+	maxStreams      = 50
 	streamBuffer    = 64 << 10
 	streamsBuffer   = 64 << 10
 	readFrameSize   = 16 << 10
