--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -13,6 +13,8 @@
 	// objectCost is charged for each JSON object of a body that is decoded: a step of a job takes about 200 bytes, the
 	// slice of steps has up to twice its size while it grows, and the steps are copied once.
 	objectCost = 512
+	// elementCost is charged for each comma of such a body, for an element of a list and the smaller arrays while the list grows.
+	elementCost = 24
 	// maxPiece is the maximum size of the pieces in which a body is charged and read.
 	maxPiece = 32 << 10
 	// bodyGrace and minBodyRate, in bytes per second, set the deadline of a body: the grace and the time that the bytes received
@@ -90,7 +92,7 @@
 
 	received, extended int64 // bytes received so far, and those received when the deadline was last extended
 	credit             int64 // bytes that are charged and not used yet
-	objects            int64 // bytes charged for JSON objects
+	decoded            int64 // bytes charged for what JSON is decoded into
 	done               bool
 }
 
@@ -112,7 +114,7 @@
 	b.credit -= bodyCost * int64(n)
 	b.received += int64(n)
 	if b.server.DecodesJSON && n > 0 {
-		if refused := b.chargeObjects(p[:n]); refused != nil {
+		if refused := b.chargeDecoded(p[:n]); refused != nil {
 			return 0, refused
 		}
 	}
@@ -150,10 +152,11 @@
 	return nil
 }
 
-// chargeObjects charges the JSON objects that begin in p. The objects of a body are charged with at most half of the budget, so
-// that any body of permitted size can be served, if only one at a time.
-func (b *body) chargeObjects(p []byte) error {
-	n := min(objectCost*int64(bytes.Count(p, []byte{'{'})), b.c.a.limit/2-b.objects)
+// chargeDecoded charges what the JSON in p is decoded into. It is charged with at most half of the budget for each body, so that any
+// body of permitted size can be served, if only one at a time.
+func (b *body) chargeDecoded(p []byte) error {
+	n := objectCost*int64(bytes.Count(p, []byte{'{'})) + elementCost*int64(bytes.Count(p, []byte{','}))
+	n = min(n, b.c.a.limit/2-b.decoded)
 	if n <= 0 {
 		return nil
 	}
@@ -161,7 +164,7 @@
 		return err
 	}
 	b.credit -= n
-	b.objects += n
+	b.decoded += n
 	return nil
 }
 
