job: identifiers that the store cannot take as a key are refused

After one job with an identifier of 300 characters, all callers of its shard got 503 until another node took the shard over. The client of the store returns an error for a key above 255 bytes, the outcome counted as unknown, and the commit with the jobs of all callers was repeated forever. An identifier that is not UTF-8 was stored and could not be read back. Ruled out: to drop a job when its commit fails, because it may be stored.

TestCrowds/jobs/jobs_with_long_identifiers: no ordinary request was served for 60 s on; now served.

--- a/connlimit/crowd_test.go
+++ b/connlimit/crowd_test.go
@@ -214,6 +214,7 @@
 // jobLoads are crowds that send whole requests to a node of the job manager.
 var jobLoads = []load{
 	{name: "jobs with repeated dependencies", port: "callers", conns: 60, act: wholeJobs(dependentJob)},
+	{name: "jobs with long identifiers", port: "callers", conns: 4, act: longIDs},
 	{name: "refused requests with long paths, log not read", port: "callers", conns: 600, act: longPaths, logUnread: true},
 	{name: "answers that are not read", port: "admin", conns: manyConns, act: unreadAnswers},
 	{name: "links of peers without a handshake", port: "peers", conns: manyConns, act: upgrade},
--- a/jobmanager/explain.go
+++ b/jobmanager/explain.go
@@ -87,7 +87,11 @@
 		out.KnownOwner = node
 	}
 	c := queueCall(q, id)
-	c.Spec = spec
+	if c.Spec = spec; spec != nil {
+		if err := checkNewJob(spec); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
 	defer cancel()
 	r, err := n.forward(ctx, typeExplain, c)
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -116,6 +116,9 @@
 
 // Submit forwards a job to the owner of the pool of its queue. The error is a *verdict.Error.
 func (n *Node) Submit(ctx context.Context, q QueueRef, spec *job.Spec) error {
+	if err := checkNewJob(spec); err != nil {
+		return err
+	}
 	c := queueCall(q, spec.ID)
 	c.Spec = spec
 	r, err := n.forward(ctx, typeSubmit, c)
@@ -125,6 +128,14 @@
 	return submissionError(r)
 }
 
+// checkNewJob returns the refusal of a job that cannot be stored.
+func checkNewJob(spec *job.Spec) error {
+	if err := spec.CheckNew(); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, http.StatusBadRequest, err.Error())
+	}
+	return nil
+}
+
 // submissionError returns the refusal of a submission, or nil.
 func submissionError(r reply) error {
 	if r.Code == codeRefused {
