job: a job whose records are larger than the store accepts is refused

After one job with a label of 260,000 bytes, all callers of its shard got 503. The bytes were not UTF-8 and were replaced by three each, so that the limit of the body did not help. The progress of a job with tens of thousands of tasks also grows beyond a record when they end. Ruled out: to split the progress into several records; it would serve larger jobs, and is left for those who need them.

TestCrowds/jobs/jobs_that_are_larger_than_a_record: no ordinary request was served for 60 s on; now served. TestCheckNew.

--- a/jobmanager/explain.go
+++ b/jobmanager/explain.go
@@ -88,7 +88,7 @@
 	}
 	c := queueCall(q, id)
 	if c.Spec = spec; spec != nil {
-		if err := checkNewJob(spec); err != nil {
+		if err := n.checkNewJob(spec); err != nil {
 			return err
 		}
 	}
--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -116,7 +116,7 @@
 
 // Submit forwards a job to the owner of the pool of its queue. The error is a *verdict.Error.
 func (n *Node) Submit(ctx context.Context, q QueueRef, spec *job.Spec) error {
-	if err := checkNewJob(spec); err != nil {
+	if err := n.checkNewJob(spec); err != nil {
 		return err
 	}
 	c := queueCall(q, spec.ID)
@@ -129,11 +129,15 @@
 }
 
 // checkNewJob returns the refusal of a job that cannot be stored.
-func checkNewJob(spec *job.Spec) error {
-	if err := spec.CheckNew(); err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, http.StatusBadRequest, err.Error())
+func (n *Node) checkNewJob(spec *job.Spec) error {
+	err := spec.CheckNew(n.settings.Limits.recordBytes())
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, job.ErrTooLarge):
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonTooLarge, http.StatusRequestEntityTooLarge, err.Error())
 	}
-	return nil
+	return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, http.StatusBadRequest, err.Error())
 }
 
 // submissionError returns the refusal of a submission, or nil.
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -1,6 +1,7 @@
 package jobmanager
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"os"
@@ -54,12 +55,19 @@
 	StopMs          int64   `json:"stopMs"`       // maximum time that a worker takes to stop a task
 	OrderLeaseMs    int64   `json:"orderLeaseMs"` // minimum time between orders of two holders for the same machine
 	CallBytes       int     `json:"callBytes"`    // maximum size of one append
-	RecordBytes     int     `json:"recordBytes"`
+	RecordBytes     int     `json:"recordBytes"`  // maximum size of one record; 0 selects defaultRecordBytes
 	// KeyRevocationMs is the time after the acknowledgement of a configuration from which a key that it removed is of no use
 	// on any node. Zero means that there is no such bound.
 	KeyRevocationMs int64 `json:"keyRevocationMs"`
 }
 
+const (
+	// defaultRecordBytes is the maximum size of a record if the settings give none.
+	defaultRecordBytes = 256 << 10
+	// minRecordBytes leaves room for a job of about a hundred tasks.
+	minRecordBytes = 8 << 10
+)
+
 // ConnectionLimits holds limits for the connections that clients open. Zero means derived.
 type ConnectionLimits struct {
 	MemoryMB int64 `json:"memoryMB"` // memory that all connections together may hold, at least 8
@@ -127,6 +135,8 @@
 		return errors.Errorf("bounds.maxLeaseMs: must be at least 1000, not %d", s.Limits.MaxLeaseMs)
 	case s.MemoryMB < 0 || s.MaxFDs < 0:
 		return errors.New("memoryMB and maxFDs: must not be negative")
+	case s.Limits.RecordBytes != 0 && s.Limits.RecordBytes < minRecordBytes:
+		return errors.Errorf("bounds.recordBytes: must be 0 or at least %d, not %d", minRecordBytes, s.Limits.RecordBytes)
 	case s.Limits.KeyRevocationMs < 0:
 		return errors.New("bounds.keyRevocationMs: must not be negative")
 	case s.Limits.GraceS <= 0 || s.Limits.StatusS <= 0:
@@ -153,6 +163,9 @@
 	return time.Duration(l.KeyRevocationMs) * time.Millisecond
 }
 
+// recordBytes returns the maximum size of a record.
+func (l Limits) recordBytes() int { return cmp.Or(l.RecordBytes, defaultRecordBytes) }
+
 // requestedLease returns the lease that the node requests for its workers.
 func (l Limits) requestedLease() time.Duration { return min(targetLease, l.maxLease()) }
 
