job: due occurrences wait while the earlier ones fill the record of progress

One valid job of 120 bytes ended the owner of its pool, and since it is stored, the next owners too. All of its 10,000 due occurrences with 1,024 tasks each were created at once.

TestProgressFitsIntoRecord.

--- a/connlimit/crowd_test.go
+++ b/connlimit/crowd_test.go
@@ -213,6 +213,7 @@
 
 // jobLoads are crowds that send whole requests to a node of the job manager.
 var jobLoads = []load{
+	{name: "jobs of which all occurrences are due", port: "callers", conns: 4, act: wholeJobs(dueJob)},
 	{name: "jobs that are larger than a record", port: "callers", conns: 4, act: wholeJobs(labelJob)},
 	{name: "jobs with repeated dependencies", port: "callers", conns: 60, act: wholeJobs(dependentJob)},
 	{name: "jobs with long identifiers", port: "callers", conns: 4, act: longIDs},
--- a/job/limits_test.go
+++ b/job/limits_test.go
@@ -41,3 +41,34 @@
 		}
 	}
 }
+
+// TestProgressFitsIntoRecord guards against a progress that the store can't take, when many occurrences are due and all of their
+// tasks have failed and have checkpoints, and against occurrences that never start because of that.
+func TestProgressFitsIntoRecord(t *testing.T) {
+	p := newTestPool(t, "w")
+	p.cfg.RecordBytes = recordBytes
+	s := oneStep("a", 40, 1)
+	s.Occurrences, s.Attempts = 1000, 4
+	p.submit(s)
+	p.tick()
+	j := p.jobs["a"]
+	if n := len(j.occurrences); n < 2 || n > maxTasks(recordBytes)/40 {
+		t.Fatalf("%d occurrences exist", n)
+	}
+	first := j.occurrences[0]
+	for _, o := range j.occurrences {
+		o.eachTask(func(t *task) {
+			t.failed, t.endedRun, t.checkpoint = []int{70_000, 70_001, 70_002}, 70_003, "00000bb87a21d94b"
+		})
+	}
+	if n := len(j.encodeProgress()); n > recordBytes {
+		t.Errorf("progress of %d bytes", n)
+	}
+	created := j.nextDue
+	first.eachTask(p.setDone)
+	p.tick() // ends the first occurrence
+	p.tick()
+	if j.nextDue != created+1 || j.firstUnfinished != 1 {
+		t.Errorf("after the first of %d occurrences the next one is %d", created, j.nextDue)
+	}
+}
--- a/job/pool.go
+++ b/job/pool.go
@@ -40,6 +40,8 @@
 	FinishedRetention time.Duration
 	// CrossRackFactor is the factor by which a task takes longer on another rack than that of its data.
 	CrossRackFactor float64
+	// RecordBytes is the size of the largest record that can be stored. Zero means no limit.
+	RecordBytes int
 	// IgnoreInterference turns off what the pool learns about the interference of tasks with an image.
 	IgnoreInterference bool
 }
@@ -228,10 +230,11 @@
 	}
 }
 
-// createDueOccurrences creates the occurrences that are due.
+// createDueOccurrences creates the occurrences that are due. One of which the progress could not be stored together with that of the
+// earlier ones waits until those have ended.
 func (p *Pool) createDueOccurrences(j *jobState, now Time) {
 	total := max(1, j.spec.Occurrences)
-	for j.nextDue < total {
+	for j.nextDue < total && p.mayCreateOccurrence(j) {
 		if j.spec.Occurrences > 0 && now.WallMs < j.spec.StartMs+int64(j.nextDue)*j.spec.IntervalMs {
 			return
 		}
@@ -240,6 +243,14 @@
 	}
 }
 
+// mayCreateOccurrence reports whether the tasks of another occurrence may exist beside those of the existing ones.
+func (p *Pool) mayCreateOccurrence(j *jobState) bool {
+	if len(j.occurrences) == 0 {
+		return true
+	}
+	return p.cfg.RecordBytes == 0 || (len(j.occurrences)+1)*j.spec.tasks() <= maxTasks(p.cfg.RecordBytes)
+}
+
 func newOccurrence(j *jobState, number int, now Time) *occurrence {
 	o := &occurrence{number: number, unfinished: make([]int, len(j.spec.Steps))}
 	for i := range j.spec.Steps {
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -384,6 +384,7 @@
 		InheritedFleetTimeout: inheritedFleetTimeout,
 		FinishedRetention:     time.Duration(limits.StatusS * float64(time.Second)),
 		CrossRackFactor:       limits.CrossRackFactor,
+		RecordBytes:           limits.recordBytes(),
 		IgnoreInterference:    !s.node.settings.LearnInterference,
 	}, now)
 	p.Restore(s.loaded, now)
