job, jobmanager: the jobs of a node take at most a fifth of its memory

Valid jobs that wait filled a node: 1,988 MB of 96 MB with 160 jobs of 65,536 tasks. Jobs that last or are due at times were always admitted, and nothing limited what was kept. Now the pools of a node share a budget of 20% of its memory, by estimates for each job, step and task. A job without room is refused at once with 503, not run, and a Retry-After between 1 and 8 s from the backlog. One customer, or one queue without customers, gets at most as much as is free, and four times that by small jobs, so that a few large jobs leave room for ordinary ones (dynamic thresholds, Choudhury and Hahne 1998). Explanations leave the budget as it was, and the end of an ownership returns its part. Ruled out: to drop accepted jobs, and to charge the connection, which has ended.

TestCrowds/jobs/jobs_of_many_tasks_that_wait: 358 MB on; now 26 MB. jobs_of_as_many_tasks_as_possible: 1,988 MB; now refused as too large, 24 MB. TestMemoryBudget.

--- a/connlimit/crowd_test.go
+++ b/connlimit/crowd_test.go
@@ -214,6 +214,8 @@
 // jobLoads are crowds that send whole requests to a node of the job manager.
 var jobLoads = []load{
 	{name: "jobs of which all occurrences are due", port: "callers", conns: 4, act: wholeJobs(dueJob)},
+	{name: "jobs of many tasks that wait", port: "callers", conns: 150, act: wholeJobs(waitingJob)},
+	{name: "jobs of as many tasks as possible", port: "callers", conns: 40, act: wholeJobs(largestJob)},
 	{name: "jobs that are larger than a record", port: "callers", conns: 4, act: wholeJobs(labelJob)},
 	{name: "jobs with repeated dependencies", port: "callers", conns: 60, act: wholeJobs(dependentJob)},
 	{name: "jobs with long identifiers", port: "callers", conns: 4, act: longIDs},
--- a/job/commit.go
+++ b/job/commit.go
@@ -123,6 +123,7 @@
 		}
 		j.committing = false
 		if j.removed {
+			p.setMemory(j, 0)
 			delete(p.jobs, id)
 			delete(p.open, id)
 			continue
@@ -155,6 +156,7 @@
 		if j.stored || j.committing || j.phase != Active {
 			continue
 		}
+		p.setMemory(j, 0)
 		delete(p.jobs, id)
 		delete(p.open, id)
 		delete(p.dirty, id)
--- a/job/limits_test.go
+++ b/job/limits_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 )
 
 // recordBytes is the record size of the tests.
@@ -72,3 +73,57 @@
 		t.Errorf("after the first of %d occurrences the next one is %d", created, j.nextDue)
 	}
 }
+
+// TestMemoryBudget guards against jobs that take more memory than the budget, against one queue that takes all of it, and against
+// memory that is not returned.
+func TestMemoryBudget(t *testing.T) {
+	p := newTestPool(t, "w")
+	p.cfg.Memory = NewMemoryBudget(8 << 20)
+	job := func(id, queue string, count int) *Spec {
+		s := longRunningSpec(id, count, 1)
+		s.Queue, s.Pool, s.Steps[0].Label = queue, "pool", "none"
+		return s
+	}
+	accepted := func(prefix, queue string, count int) (n int) {
+		for i := range 100 {
+			if a, retry := p.Submit(job(prefix+string(rune('a'+i%26))+string(rune('a'+i/26)), queue, count), p.now); a == Pending {
+				n++
+			} else if retry < minRetryAfter || retry > maxRetryAfter {
+				t.Fatalf("retry after %s", retry)
+			}
+		}
+		return n
+	}
+	if n := accepted("large", "q", 1000); n != 8 {
+		t.Errorf("%d jobs of 0.5 MB of one queue accepted, want half of the budget", n)
+	}
+	if n := accepted("small", "q", 10); n != 100 {
+		t.Errorf("%d small jobs of the queue accepted", n)
+	}
+	if n := accepted("other", "r", 1000); n == 0 {
+		t.Error("no job of another queue accepted")
+	}
+	used := p.cfg.Memory.Used()
+	if used > p.cfg.Memory.Limit() {
+		t.Errorf("%d bytes used", used)
+	}
+	p.Explain("x", "", job("x", "q", 5), p.now)
+	if now := p.cfg.Memory.Used(); now != used {
+		t.Errorf("an explanation changed the memory from %d to %d bytes", used, now)
+	}
+	p.commit()
+	for id := range p.jobs {
+		p.Cancel(id, p.now)
+	}
+	p.commit()
+	p.tick()
+	if now, most := p.cfg.Memory.Used(), int64(len(p.jobs)*(jobMemory+20)); now > most {
+		t.Errorf("%d bytes of %d ended jobs", now, len(p.jobs))
+	}
+	p.advance(2 * time.Minute)
+	p.tick()
+	p.commit()
+	if now := p.cfg.Memory.Used(); now != 0 || len(p.jobs) != 0 {
+		t.Errorf("%d bytes remain of %d jobs", now, len(p.jobs))
+	}
+}
--- a/job/pool.go
+++ b/job/pool.go
@@ -42,6 +42,8 @@
 	CrossRackFactor float64
 	// RecordBytes is the size of the largest record that can be stored. Zero means no limit.
 	RecordBytes int
+	// Memory limits the memory of the jobs; nil for no limit. Other pools may use it, too.
+	Memory *MemoryBudget
 	// IgnoreInterference turns off what the pool learns about the interference of tasks with an image.
 	IgnoreInterference bool
 }
@@ -156,7 +158,8 @@
 	// tenant is cached by shares.of; it is valid while tenantGeneration is the generation of the shares.
 	tenant           *tenant
 	tenantGeneration int64
-	committing       bool // part of the outstanding commit
+	committing       bool  // part of the outstanding commit
+	memory           int64 // bytes counted in the budget
 }
 
 // New returns an empty pool.
@@ -202,6 +205,7 @@
 		occurrences:     make(map[int]*occurrence),
 	}
 	p.jobs[lj.Spec.ID] = j
+	p.countMemory(j)
 	if j.phase != Active {
 		return
 	}
@@ -230,8 +234,8 @@
 	}
 }
 
-// createDueOccurrences creates the occurrences that are due. One of which the progress could not be stored together with that of the
-// earlier ones waits until those have ended.
+// createDueOccurrences creates the occurrences that are due. One for which there is no memory, or of which the progress could not be
+// stored together with that of the earlier ones, waits until those have ended.
 func (p *Pool) createDueOccurrences(j *jobState, now Time) {
 	total := max(1, j.spec.Occurrences)
 	for j.nextDue < total && p.mayCreateOccurrence(j) {
@@ -240,6 +244,7 @@
 		}
 		j.occurrences[j.nextDue] = newOccurrence(j, j.nextDue, now)
 		j.nextDue++
+		p.countMemory(j)
 	}
 }
 
@@ -248,7 +253,11 @@
 	if len(j.occurrences) == 0 {
 		return true
 	}
-	return p.cfg.RecordBytes == 0 || (len(j.occurrences)+1)*j.spec.tasks() <= maxTasks(p.cfg.RecordBytes)
+	tasks := j.spec.tasks()
+	if p.cfg.RecordBytes > 0 && (len(j.occurrences)+1)*tasks > maxTasks(p.cfg.RecordBytes) {
+		return false
+	}
+	return p.cfg.Memory.admits(j.spec.flow(), int64(tasks)*taskMemory)
 }
 
 func newOccurrence(j *jobState, number int, now Time) *occurrence {
@@ -311,6 +320,7 @@
 	for j.firstUnfinished < j.nextDue && (j.occurrences[j.firstUnfinished] == nil || j.occurrences[j.firstUnfinished].unfinishedTotal == 0) {
 		delete(j.occurrences, j.firstUnfinished)
 		j.firstUnfinished++
+		p.countMemory(j)
 	}
 	if j.phase == Active && j.firstUnfinished >= max(1, j.spec.Occurrences) {
 		p.finish(j, Completed, now)
@@ -368,6 +378,7 @@
 	if j.phase != Active && j.storedPhase == j.phase && !j.hasRuns() {
 		j.occurrences = nil
 		j.spec = storedSpec(j)
+		p.countMemory(j)
 		delete(p.open, id)
 	}
 }
--- a/job/submit.go
+++ b/job/submit.go
@@ -42,6 +42,11 @@
 	if p.refuseOverCap(s) {
 		return OverCap, 0
 	}
+	if !p.cfg.Memory.admits(s.flow(), s.memory(1)) {
+		wait := min(maxRetryAfter, max(minRetryAfter, p.backlog.total))
+		p.event(Event{Kind: "job refused for memory", Job: s.ID, Queue: s.Queue, AgeMs: wait.Milliseconds()})
+		return Refused, wait
+	}
 	p.recordArrival(s, now)
 	a := p.checkAdmission(s, now)
 	if a.event.Kind != "" {
@@ -56,6 +61,7 @@
 		occurrences: make(map[int]*occurrence),
 	}
 	p.jobs[s.ID] = j
+	p.countMemory(j)
 	p.open[s.ID] = j
 	p.dirty[s.ID] = j
 	p.event(Event{Kind: "job submitted", Job: s.ID, Queue: s.Queue})
--- a/job/trial.go
+++ b/job/trial.go
@@ -79,8 +79,19 @@
 	}
 }
 
+// restoreMemory puts back the memory of the jobs in the budget, which the pool shares with others.
+func (s *trial) restoreMemory(p *Pool) {
+	if j := p.jobs[s.id]; j != nil && s.job == nil {
+		p.setMemory(j, 0)
+	}
+	for _, saved := range s.jobs {
+		p.setMemory(saved.at, saved.value.memory)
+	}
+}
+
 // restore puts back what was saved.
 func (s *trial) restore(p *Pool) {
+	s.restoreMemory(p)
 	*p = s.pool
 	if s.job == nil {
 		delete(p.jobs, s.id)
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -38,7 +38,8 @@
 	Reason string // written under the key "why"
 	// AgeMs is a duration in milliseconds:
 	//   - "callers: refused": since the request arrived
-	//   - "job: job refused", "job: job refused over rate", "job: job refused over share": until capacity is expected
+	//   - "job: job refused", "job: job refused over rate", "job: job refused over share",
+	//     "job: job refused for memory": until capacity is expected
 	//   - "job: job waits", "job: job completed", "job: job failed", "job: job cancelled": since the job was accepted
 	//   - "job: run ordered": since the task could start
 	//   - "job: advice received": since the request for advice was sent
--- a/jobmanager/metrics.go
+++ b/jobmanager/metrics.go
@@ -42,3 +42,10 @@
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(n.metrics.registry, w)
 }
+
+// registerJobMemory registers the gauges of the memory that the state of jobs takes and may take, in bytes.
+func (n *Node) registerJobMemory() {
+	// The registry is new, so the names are not taken.
+	_ = n.metrics.registry.Register("jobs.memory.bytes", metrics.NewFunctionalGauge(n.jobMemory.Used))
+	_ = n.metrics.registry.Register("jobs.memory.max", metrics.NewFunctionalGauge(n.jobMemory.Limit))
+}
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -68,6 +68,7 @@
 	peers           *peer.Net
 	log             *Log
 	metrics         *nodeMetrics
+	jobMemory       *job.MemoryBudget // of all pools
 	member          string
 	processID       string // distinguishes this process from other processes of the same node
 
@@ -119,6 +120,7 @@
 		advisor:        p.Advisor,
 		relays:         p.Relays,
 		metrics:        newNodeMetrics(),
+		jobMemory:      job.NewMemoryBudget(s.jobMemory()),
 		freshReads:     newFreshReads(),
 		member:         memberName(s),
 		processID:      uuid.NewString(),
@@ -135,6 +137,7 @@
 	n.strongSeenAt.Store(int64(clock.Now().Steady))
 	n.handlePeers()
 	n.registerConfigAge()
+	n.registerJobMemory()
 	return n
 }
 
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -89,6 +89,18 @@
 	return nil
 }
 
+const (
+	// defaultMemoryMB is the memory of the smallest supported machines.
+	defaultMemoryMB = 184
+	// jobMemoryPercent is the percentage of the memory that the state of jobs may take.
+	jobMemoryPercent = 20
+)
+
+// jobMemory returns the memory that the state of jobs may take, in bytes.
+func (s *Settings) jobMemory() int64 {
+	return cmp.Or(s.MemoryMB, defaultMemoryMB) << 20 / 100 * jobMemoryPercent
+}
+
 // LoadSettings reads and validates a settings file.
 func LoadSettings(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -385,6 +385,7 @@
 		FinishedRetention:     time.Duration(limits.StatusS * float64(time.Second)),
 		CrossRackFactor:       limits.CrossRackFactor,
 		RecordBytes:           limits.recordBytes(),
+		Memory:                s.node.jobMemory,
 		IgnoreInterference:    !s.node.settings.LearnInterference,
 	}, now)
 	p.Restore(s.loaded, now)
@@ -427,8 +428,9 @@
 // close stops the shard. Waiting callers are told that the outcome is unknown.
 func (s *shard) close() {
 	close(s.done)
-	for name := range s.pools {
+	for name, p := range s.pools {
 		s.node.metrics.dropInterference(name)
+		p.ReleaseMemory()
 	}
 	for id := range s.waiters {
 		s.answerWaiters(id, true, outcome{err: errUncertain})
