jobmanager: memoryMB and maxFDs have a minimum

A node whose settings gave it 1 MB or 10 descriptors started and then served nobody: the runtime collected without end, and no body of legal size fitted into the budget. The cause: the check refused negative values only.

--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -90,6 +90,9 @@
 }
 
 const (
+	// minMemoryMB and minMaxFDs leave room for the process itself beside the least that clients need.
+	minMemoryMB = 48
+	minMaxFDs   = 256
 	// defaultMemoryMB is the memory of the smallest supported machines.
 	defaultMemoryMB = 184
 	// jobMemoryPercent is the percentage of the memory that the state of jobs may take.
@@ -145,8 +148,10 @@
 		return errors.Errorf("shards: must be at least 1, not %d", s.Shards)
 	case s.Limits.MaxLeaseMs < 1000:
 		return errors.Errorf("bounds.maxLeaseMs: must be at least 1000, not %d", s.Limits.MaxLeaseMs)
-	case s.MemoryMB < 0 || s.MaxFDs < 0:
-		return errors.New("memoryMB and maxFDs: must not be negative")
+	case s.MemoryMB != 0 && s.MemoryMB < minMemoryMB:
+		return errors.Errorf("memoryMB: must be 0 or at least %d, not %d", minMemoryMB, s.MemoryMB)
+	case s.MaxFDs != 0 && s.MaxFDs < minMaxFDs:
+		return errors.Errorf("maxFDs: must be 0 or at least %d, not %d", minMaxFDs, s.MaxFDs)
 	case s.Limits.RecordBytes != 0 && s.Limits.RecordBytes < minRecordBytes:
 		return errors.Errorf("bounds.recordBytes: must be 0 or at least %d, not %d", minRecordBytes, s.Limits.RecordBytes)
 	case s.Limits.KeyRevocationMs < 0:
