--- a/jobmanager/log_test.go
+++ b/jobmanager/log_test.go
@@ -35,9 +35,11 @@
 		t.Fatal("the log blocks")
 	}
 	close(w.release)
-	log.Event(LogEvent{Component: "test", Event: "later"})
+	log.Event(LogEvent{Component: "test", Event: "later", Job: strings.Repeat("x", 1000), Queue: strings.Repeat("x", 1000)})
 	log.Close()
 	if out := w.String(); !strings.Contains(out, "lines dropped") {
 		t.Error("dropped lines are not reported")
+	} else if strings.Contains(out, strings.Repeat("x", maxClientText+1)) {
+		t.Error("a line holds more of a client's text than permitted")
 	}
 }
