claims, daemon: the table of claims takes at most a fifth of the memory

A caller's bookings with new identifiers are kept for ten minutes, up to 100,000 with 16 MB of responses, about 70 MB, whatever the memory of the machine. With the 35% of clients that is more than a machine of 96 MB has. Now the table gets 20% of memoryMB: at 184 MB about 50,000 claims and 9 MB of responses, at 400 MB and more the former size, and without memoryMB nothing changes. A full table refuses new claims as before, not run. Ruled out: to drop claims, which would allow a request to run twice.

Found by reading; no crowd of 50,000 bookings was played. TestLimitsFor.

--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -82,6 +82,16 @@
 
 // TestAttempt guards against a later attempt that runs without grants from both home nodes, against a first attempt
 // that is refused although one home node is sufficient, and against a refusal as not-run when an earlier attempt may
+// TestLimitsFor guards against a full table that takes more than the memory that it was given.
+func TestLimitsFor(t *testing.T) {
+	for _, memory := range []int64{6 << 20, 36 << 20, 1 << 30} {
+		claims, responses := LimitsFor(memory)
+		if used := int64(claims)*claimBytes + int64(responses); used > memory || claims > DefaultMaxClaims || claims < 1000 {
+			t.Errorf("%d bytes: %d claims and %d bytes of responses", memory, claims, responses)
+		}
+	}
+}
+
 // have run.
 func TestAttempt(t *testing.T) {
 	replies := map[string]Reply{
--- a/claims/table.go
+++ b/claims/table.go
@@ -5,13 +5,25 @@
 	"time"
 )
 
-// Default limits of a table. An entry without a response takes about 550 bytes, so a full table including its responses
-// takes about 70 MB.
+// Default limits of a table. A full table including its responses takes about 70 MB.
 const (
 	DefaultMaxClaims        = 100_000
 	DefaultMaxResponseBytes = 16 << 20
 )
 
+const (
+	// claimBytes is the memory that an entry without a response takes.
+	claimBytes = 550
+	// responseDivisor is the part of a table's memory, as its inverse, that is for responses.
+	responseDivisor = 4
+)
+
+// LimitsFor returns the limits of a table that takes at most memory bytes. They are at most the defaults.
+func LimitsFor(memory int64) (maxClaims, maxResponseBytes int) {
+	responses := memory / responseDivisor
+	return int(min(DefaultMaxClaims, (memory-responses)/claimBytes)), int(min(DefaultMaxResponseBytes, responses))
+}
+
 // AttemptID identifies one attempt to claim a key. Retransmitted messages of an attempt carry the same identifier.
 type AttemptID struct {
 	Node        string `cbor:"1,keyasint"`
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -88,6 +88,8 @@
 	// OnUnhealthyWorkers is called on each heartbeat of another member with the workers that the member has found not
 	// to be alive. It may be nil.
 	OnUnhealthyWorkers func(node string, workers []peer.WorkerHealth)
+	// MaxClaims and MaxResponseBytes limit the table of claims. Zero selects the defaults of package claims.
+	MaxClaims, MaxResponseBytes int
 	// ShutdownTimeout limits how long Run waits for slots to be returned after its context ends. Zero selects 10 s.
 	ShutdownTimeout time.Duration
 	Log             *logrus.Logger   // nil discards log output
@@ -157,7 +159,7 @@
 		incarnation:   cfg.Incarnation,
 		history:       membership.NewHistory(cfg.Node, cfg.Incarnation),
 		slots:         slots.NewNode(cfg.Node, defaultMaxRun),
-		claimTable:    claims.NewTable(0, 0),
+		claimTable:    claims.NewTable(cfg.MaxClaims, cfg.MaxResponseBytes),
 		heartbeats:    make(map[string]peer.Heartbeat),
 		waiters:       make(map[uint64]chan string),
 		activeClaims:  make(map[claims.Key]activeClaim),
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/berylwharf/berylwharf/claims"
 	"github.com/berylwharf/berylwharf/connlimit"
 )
 
@@ -23,6 +24,17 @@
 	return errors.Wrap(d.account.RegisterMetrics(d.registry), "metrics of clients' connections")
 }
 
+// claimMemoryPercent is the percentage of the memory that the table of claims may take.
+const claimMemoryPercent = 20
+
+// claimLimits returns the limits of the table of claims; zero for the defaults if the memory of the machine is unknown.
+func (d *Daemon) claimLimits() (maxClaims, maxResponseBytes int) {
+	if d.cfg.Limits.MemoryMB == 0 {
+		return 0, 0
+	}
+	return claims.LimitsFor(int64(d.cfg.Limits.MemoryMB) << 20 / 100 * claimMemoryPercent)
+}
+
 // protect returns the function that charges the server of a listener to the account.
 func (d *Daemon) protect(name string, decodesJSON bool) func(*http.Server, net.Listener) net.Listener {
 	return func(srv *http.Server, l net.Listener) net.Listener {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -183,8 +183,10 @@
 	for i, a := range d.cfg.Peers.Addresses {
 		addresses[i] = a.String()
 	}
+	maxClaims, maxResponseBytes := d.claimLimits()
 	var err error
 	d.coord, err = coord.New(coord.Config{
+		MaxClaims: maxClaims, MaxResponseBytes: maxResponseBytes,
 		Node:               d.cfg.Node,
 		VM:                 d.cfg.VM,
 		Zone:               d.cfg.Zone,
