platform, jobmanager: logs and gauges show a node that does not follow the configuration

Change: the end of the operators' records is taken from the header of a read before its records have arrived. A failed transfer says how many bytes had arrived; 'config: applied' has the durations of transfer and decoding; 'callers: refused' has the version; 'config: behind' and 'config: caught up' are new, and the gauges config.version and config.pending. No timeout and no decision changes.

--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -117,6 +117,9 @@
 	// which it began.
 	Complete bool
 	ReadAt   time.Duration
+	// ResponseAt is the steady time at which the response that gave the change began to arrive, ReceivedAt that at which it had
+	// arrived.
+	ResponseAt, ReceivedAt time.Duration
 	// Malformed holds an error for each declaration that could not be decoded.
 	Malformed []error
 }
@@ -129,6 +132,9 @@
 	// caller of Next has applied, which a further call of Next shows. It returns a complete change without the waves, or an error.
 	// It may be called concurrently with Next.
 	ReadNow(ctx context.Context) (*OperatorChange, error)
+	// Pending returns how many records the store is known to hold that the caller of Next has not applied. It may be called
+	// concurrently with Next.
+	Pending() int64
 }
 
 // Machines lists and changes the platform's machines.
--- a/jobmanager/keys.go
+++ b/jobmanager/keys.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/berylwharf/berylwharf/apikey"
 )
@@ -46,19 +45,6 @@
 // CountKeyDecision counts a decision on the key of a call.
 func (n *Node) CountKeyDecision(o apikey.Outcome) { n.metrics.countKey(string(o)) }
 
-// registerConfigAge registers the gauge of the age of the configuration in milliseconds; -1 if no read was complete.
-func (n *Node) registerConfigAge() {
-	gauge := metrics.NewFunctionalGauge(func() int64 {
-		k := n.knowledge.Load()
-		if k == nil {
-			return -1
-		}
-		return (n.clock.Now().Steady - k.ReadAt).Milliseconds()
-	})
-	// The registry is new, so the name is not taken.
-	_ = n.metrics.registry.Register("keys.config.age.ms", gauge)
-}
-
 // freshRead is a read of the operators' records that calls wait for.
 type freshRead struct {
 	done chan struct{}
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -32,7 +32,7 @@
 	Worker    string
 	Shard     int
 	// Epoch is the epoch of the shard. In the event "node: shards assigned" it is the generation of the group, in the events
-	// "config: ...", "queue: ..." and "keys: ..." the version of the configuration, and in the events about waves and machines
+	// "config: ...", "queue: ...", "keys: ..." and "callers: refused" the version of the configuration, and in the events about waves and machines
 	// the number of the wave.
 	Epoch  int64
 	Reason string // written under the key "why"
@@ -45,6 +45,8 @@
 	//   - "job: advice received": since the request for advice was sent
 	//   - "shard: taken over": duration of the takeover
 	//   - "fleet: controller may send orders": until the controller may send orders
+	//   - "config: applied": since the response that contained the version began to arrive
+	//   - "config: behind", "config: caught up": since the beginning of the last read after which all records were applied
 	//   - "keys: call refused": since the beginning of the last read that showed all of the operators' records; -1 if there is none
 	AgeMs int64
 	// Count is a number whose meaning depends on the event:
@@ -58,6 +60,7 @@
 	//   - "node: shards released": shards that the node owned
 	//   - "shard: taken over": jobs loaded
 	//   - "config: applied": routes
+	//   - "config: behind": operators' records that the node has not applied
 	//   - "queue: taken over": jobs that earlier pools know
 	//   - "fleet: wave declared": machines of the wave
 	//   - "fleet: pool size": machines in the pool
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -136,7 +136,7 @@
 	n.entries.Store(&directoryView{})
 	n.strongSeenAt.Store(int64(clock.Now().Steady))
 	n.handlePeers()
-	n.registerConfigAge()
+	n.registerConfigGauges()
 	n.registerJobMemory()
 	return n
 }
@@ -144,6 +144,7 @@
 // Run serves until the context ends, then hands over the shards and returns.
 func (n *Node) Run(ctx context.Context) {
 	n.wg.Go(n.followOperators)
+	n.wg.Go(n.watchConfig)
 	n.wg.Go(n.makeFreshReads)
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followOwners)
--- a/jobmanager/operators.go
+++ b/jobmanager/operators.go
@@ -1,6 +1,8 @@
 package jobmanager
 
 import (
+	"fmt"
+
 	"github.com/berylwharf/berylwharf/apikey"
 	"github.com/berylwharf/berylwharf/fleet"
 )
@@ -29,7 +31,7 @@
 	n.operatorsMu.Lock()
 	defer n.operatorsMu.Unlock()
 	if change.Config != nil {
-		n.applyConfig(change.Config)
+		n.applyConfig(change)
 	}
 	// The time is published after the configuration, and View reads it before, so that a configuration is never taken for newer
 	// than it is.
@@ -47,7 +49,8 @@
 	}
 }
 
-func (n *Node) applyConfig(c *Config) {
+func (n *Node) applyConfig(change *OperatorChange) {
+	c := change.Config
 	if old := n.config.Load(); old != nil && old.Version >= c.Version {
 		if old.Version > c.Version {
 			n.log.Event(LogEvent{Component: "config", Event: "older version ignored", Epoch: c.Version})
@@ -70,5 +73,16 @@
 	n.shardPools.Store(&pools)
 	n.shardQueues.Store(n.groupQueues(c))
 	n.config.Store(c)
-	n.log.Event(LogEvent{Component: "config", Event: "applied", Epoch: c.Version, Count: len(c.Routes)})
+	n.logApplied(change)
+}
+
+// logApplied logs how long the configuration of a change was on its way to be in force. Both parts grow with its size.
+func (n *Node) logApplied(change *OperatorChange) {
+	now := n.clock.Now().Steady
+	n.log.Event(LogEvent{
+		Component: "config", Event: "applied", Epoch: change.Config.Version, Count: len(change.Config.Routes),
+		AgeMs: (now - change.ResponseAt).Milliseconds(),
+		Reason: fmt.Sprintf("received in %d ms, decoded in %d ms",
+			(change.ReceivedAt - change.ResponseAt).Milliseconds(), (now - change.ReceivedAt).Milliseconds()),
+	})
 }
