jobmanager, platform: a node whose configuration is out of force refuses calls

What callers saw: 404 for an added route, or service by a version that had been replaced, from a node that reported ready.

Cause: a node stayed in service by what it last knew, also while it knew that the store held later records; and a 404 for an unknown queue did not ask how old the configuration was, while an unknown key is looked up first.

Change: the setting bounds.configMs is the time within which a version must be in force. A node that has known for as long as that (less 200 ms) of records that it has not applied is not ready and answers calls with 503, not run; the log line 'config: behind' says so, and the gauge config.outdated. The age counts from the response that showed the records, or from the one before it if the store did not wait. A node that cannot reach the store knows of no change and stays in service. An unknown queue gets 404 at once only if no record is pending and the last complete read is within the bound; otherwise the call waits for a fresh read, as for an unknown key, and gets 503 if there is none.

--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -134,9 +134,9 @@
 	// caller of Next has applied, which a further call of Next shows. It returns a complete change without the waves, or an error.
 	// It may be called concurrently with Next.
 	ReadNow(ctx context.Context) (*OperatorChange, error)
-	// Pending returns how many records the store is known to hold that the caller of Next has not applied. It may be called
-	// concurrently with Next.
-	Pending() int64
+	// Pending returns how many records the store is known to hold that the caller of Next has not applied, and the steady time before
+	// which none of them was there. It may be called concurrently with Next.
+	Pending() (records int64, since time.Duration)
 }
 
 // Machines lists and changes the platform's machines.
--- a/jobmanager/keys.go
+++ b/jobmanager/keys.go
@@ -23,6 +23,10 @@
 	// Knowledge says how new the configuration is. It was read before Config.
 	Knowledge apikey.Knowledge
 	Config    *Config // nil if there is none yet
+	// Outdated means that the node knows of records that replace the configuration for longer than the bound allows.
+	Outdated bool
+	// MayLack means that a later version may be in force by the bound, as far as the node can tell.
+	MayLack bool
 	// Revocation is the time after which a removed key is no longer accepted; 0 if there is no such bound.
 	Revocation time.Duration
 	// RetryAfter is the time after which a caller may retry a call on which the node can't decide.
@@ -31,7 +35,11 @@
 
 // View returns what the node knows.
 func (n *Node) View() View {
-	v := View{Revocation: n.settings.Limits.KeyRevocation(), RetryAfter: retryAfter(n.storeDownFor())}
+	state, bound := n.ConfigState(), n.settings.Limits.configBound()
+	v := View{
+		Outdated: state.outdated(bound), MayLack: state.mayLack(bound),
+		Revocation: n.settings.Limits.KeyRevocation(), RetryAfter: retryAfter(n.storeDownFor()),
+	}
 	// The order matters, see applyConfiguration.
 	if k := n.knowledge.Load(); k != nil {
 		v.Knowledge = *k
--- a/jobmanager/keys_test.go
+++ b/jobmanager/keys_test.go
@@ -27,6 +27,8 @@
 	return c, nil
 }
 
+func (o *countingOperators) Pending() (records int64, since time.Duration) { return 0, 0 }
+
 // TestCallsShareFreshReads guards against a read of the store for each unknown key, and against an answer from a read that
 // began before the call arrived.
 func TestCallsShareFreshReads(t *testing.T) {
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -46,7 +46,7 @@
 	//   - "shard: taken over": duration of the takeover
 	//   - "fleet: controller may send orders": until the controller may send orders
 	//   - "config: applied": since the response that contained the version began to arrive
-	//   - "config: behind", "config: caught up": since the beginning of the last read after which all records were applied
+	//   - "config: behind": since the time at which the oldest record that the node has not applied may have been there
 	//   - "keys: call refused": since the beginning of the last read that showed all of the operators' records; -1 if there is none
 	AgeMs int64
 	// Count is a number whose meaning depends on the event:
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -167,7 +167,9 @@
 }
 
 // Ready reports whether the node can serve callers.
-func (n *Node) Ready() bool { return n.config.Load() != nil && !n.leaving.Load() }
+func (n *Node) Ready() bool {
+	return n.config.Load() != nil && !n.leaving.Load() && !n.configOutdated()
+}
 
 // Config returns the configuration in force, or nil if there is none yet.
 func (n *Node) Config() *Config { return n.config.Load() }
--- a/jobmanager/settings.go
+++ b/jobmanager/settings.go
@@ -59,6 +59,9 @@
 	// KeyRevocationMs is the time after the acknowledgement of a configuration from which a key that it removed is of no use
 	// on any node. Zero means that there is no such bound.
 	KeyRevocationMs int64 `json:"keyRevocationMs"`
+	// ConfigMs is the time after the acknowledgement of a configuration from which it is in force on every node. Zero means that
+	// there is no such bound.
+	ConfigMs int64 `json:"configMs"`
 }
 
 const (
@@ -156,6 +159,8 @@
 		return errors.Errorf("bounds.recordBytes: must be 0 or at least %d, not %d", minRecordBytes, s.Limits.RecordBytes)
 	case s.Limits.KeyRevocationMs < 0:
 		return errors.New("bounds.keyRevocationMs: must not be negative")
+	case s.Limits.ConfigMs < 0:
+		return errors.New("bounds.configMs: must not be negative")
 	case s.Limits.GraceS <= 0 || s.Limits.StatusS <= 0:
 		return errors.New("bounds.graceS and bounds.statusS: must be positive")
 	}
@@ -180,6 +185,9 @@
 	return time.Duration(l.KeyRevocationMs) * time.Millisecond
 }
 
+// configBound returns the time after which a configuration is in force on every node; 0 if there is no such bound.
+func (l Limits) configBound() time.Duration { return time.Duration(l.ConfigMs) * time.Millisecond }
+
 // recordBytes returns the maximum size of a record.
 func (l Limits) recordBytes() int { return cmp.Or(l.RecordBytes, defaultRecordBytes) }
 
