jobmanager, platform: loads, lists and appends are bounded by progress or size

Change: the pages of loads and lists are bounded by the progress of each transfer. The timeout of an append grows by 1 s for each 128 KB.

--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -27,7 +27,8 @@
 
 // Store persists the records of the shards. Each shard has at most one writer: the owner with the greatest epoch.
 type Store interface {
-	// Load returns the newest record of each key, and the end of the shard's log at the time when the load began.
+	// Load returns the newest record of each key, and the end of the shard's log at the time when the load began. It bounds itself by
+	// the progress of its transfers, because they grow with the number of records.
 	Load(ctx context.Context, shard int) (records []job.Record, end int64, err error)
 	// Claim makes epoch the lowest epoch that may write to a shard, and stores a record as append seq of that epoch. It
 	// returns ErrLogExtended if the log no longer ends at end or if another claim has used the epoch. The store takes a
@@ -62,7 +63,8 @@
 
 // Directory lists the workers and their pools.
 type Directory interface {
-	// Poll returns the entries, and whether they have changed since the last call.
+	// Poll returns the entries, and whether they have changed since the last call that succeeded. It bounds itself by the progress of
+	// its transfers, because they grow with the number of workers.
 	Poll(ctx context.Context) (entries []WorkerEntry, changed bool, err error)
 }
 
@@ -141,6 +143,7 @@
 
 // Machines lists and changes the platform's machines.
 type Machines interface {
+	// List returns all machines. It bounds itself by the progress of its transfers, because they grow with the number of machines.
 	List(ctx context.Context) ([]fleet.Machine, error)
 	// Order sends an order to change a machine. Holder and token identify the controller; the platform treats a greater
 	// token as that of a later controller.
--- a/jobmanager/commit.go
+++ b/jobmanager/commit.go
@@ -19,6 +19,8 @@
 	commitStallTimeout = 500 * time.Millisecond
 	// commitRejectTimeout is how long a commit is retried that the store keeps rejecting.
 	commitRejectTimeout = 300 * time.Millisecond
+	// minUploadRate is the rate in bytes per second at which the slowest link carries an append.
+	minUploadRate = 128 << 10
 	// refusalPeriod is how long new jobs are refused after a rejected commit. The first job after it tries the store
 	// again.
 	refusalPeriod = 400 * time.Millisecond
@@ -95,6 +97,8 @@
 	startedAt := s.node.clock.Now().Steady
 	rejected := first
 	return s.retry(func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, appendTimeout(batch))
+		defer cancel()
 		err := s.node.store.Append(ctx, s.number, s.epoch, s.seq, batch)
 		rejected = rejected && errors.Is(err, ErrNoEffect)
 		if rejected && s.node.clock.Now().Steady-startedAt > commitRejectTimeout {
@@ -105,6 +109,16 @@
 	})
 }
 
+// appendTimeout returns the timeout of an append. It grows with the size of the records, so that an append that a slow link carries
+// is not begun anew for ever.
+func appendTimeout(records []job.Record) time.Duration {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return storeTimeout + time.Duration(size)*time.Second/minUploadRate
+}
+
 // splitRecords returns the longest prefix of records that fits in one call, at least one record, and the rest.
 func splitRecords(records []job.Record, callBytes int) (batch, rest []job.Record) {
 	// Encoding overhead per record in addition to key and value: a length field and the key length.
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -26,7 +26,7 @@
 	loadTimeout = 300 * time.Millisecond
 	// balanceLogInterval is the minimum time between log lines about pool sizes.
 	balanceLogInterval = time.Second
-	// machineTimeout bounds a call to the platform that lists or changes machines.
+	// machineTimeout bounds a call to the platform that changes a machine.
 	machineTimeout = time.Second
 	// waveKeyPrefix is the key prefix of stored wave progress records.
 	waveKeyPrefix = "v/"
@@ -160,9 +160,7 @@
 
 // listMachines reads the machine list. If that fails, the previous list stays in use.
 func (f *fleetLoop) listMachines(now job.Time) {
-	ctx, cancel := context.WithTimeout(f.shard.ctx, machineTimeout)
-	defer cancel()
-	machines, err := f.node.machines.List(ctx)
+	machines, err := f.node.machines.List(f.shard.ctx)
 	if err != nil {
 		f.node.log.Event(LogEvent{Component: "fleet", Event: "machine list not read", Reason: err.Error()})
 		return
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -342,9 +342,7 @@
 }
 
 func (n *Node) readDirectory() {
-	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-	defer cancel()
-	entries, changed, err := n.directorySource.Poll(ctx)
+	entries, changed, err := n.directorySource.Poll(n.ctx)
 	if err != nil {
 		n.log.Event(LogEvent{Component: "directory", Event: "read failed", Reason: err.Error()})
 		return
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -25,7 +25,7 @@
 	stepPauseFactor = 5
 	// idleStepInterval is the time between steps while no messages arrive.
 	idleStepInterval = 60 * time.Millisecond
-	// storeTimeout bounds one call to the store.
+	// storeTimeout bounds one call to the store whose request and response do not grow with the stored data.
 	storeTimeout = 1200 * time.Millisecond
 	// adviceTimeout bounds a request for advice, including the time that it is queued behind other requests of this
 	// node.
@@ -215,12 +215,10 @@
 }
 
 // retry repeats a call to the store until it succeeds, is abandoned with errCommitRejected, fails with ErrFenced or
-// ErrLogExtended, finds the shard vacant, or the ownership ends.
+// ErrLogExtended, finds the shard vacant, or the ownership ends. The call sets its own timeout.
 func (s *shard) retry(f func(context.Context) error) error {
 	for {
-		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
-		err := f(ctx)
-		cancel()
+		err := f(s.ctx)
 		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrLogExtended) || errors.Is(err, errCommitRejected) || errors.Is(err, errVacant) {
 			return err
 		}
--- a/jobmanager/takeover.go
+++ b/jobmanager/takeover.go
@@ -91,6 +91,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	return s.node.store.Claim(ctx, s.number, s.epoch, s.seq, end, record)
 }
 
