job: a worker gets at most 1,024 runs

Cause: the class of the incident, in the reports of workers: tasks that need little or nothing of a worker were started on it without a limit, and the report that lists them grows with them under the fixed timeout of a poll.

Change: a worker with 1,024 runs has no room for more, for placement, gangs, evacuation and explanations alike.

Result: TestTasksWithoutNeeds (in the same change, not run on the old code) and the tests of job pass.

--- a/job/evacuate.go
+++ b/job/evacuate.go
@@ -81,7 +81,7 @@
 func (p *Pool) fitsElsewhere(r *run, now Time) bool {
 	for _, w := range p.workers {
 		if w != r.worker && w.usable(now) && p.eligible(r.task, w) && satisfiesConstraints(r.task.step, r.task, w) &&
-			r.task.step.reserved().Fits(w.free()) {
+			w.hasRoom(r.task.step.reserved(), 0) {
 			return true
 		}
 	}
--- a/job/explain.go
+++ b/job/explain.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		labelled++
-		if !s.reserved().Fits(w.free()) {
+		if !w.hasRoom(s.reserved(), 0) {
 			continue
 		}
 		withCapacity++
--- a/job/limits_test.go
+++ b/job/limits_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// TestTasksWithoutNeeds guards against a worker that gets more tasks than it can report in time, because they need nothing.
+func TestTasksWithoutNeeds(t *testing.T) {
+	p := newTestPool(t, "v", "w")
+	for i := range 3 {
+		s := oneStep(string(rune('a'+i)), 1000, 0)
+		s.Steps[0].Request = Resources{}
+		s.Steps[0].Gang = i == 2
+		p.submit(s)
+	}
+	if n := len(starts(p.tick())); n != 2000 {
+		t.Errorf("%d tasks started, want those of the two jobs without a gang", n)
+	}
+	for _, w := range p.workers {
+		if len(w.runs) > maxWorkerRuns {
+			t.Errorf("%d runs on a worker", len(w.runs))
+		}
+	}
+}
+
 // TestMemoryBudget guards against jobs that take more memory than the budget, against one queue that takes all of it, and against
 // memory that is not returned.
 func TestMemoryBudget(t *testing.T) {
--- a/job/place.go
+++ b/job/place.go
@@ -39,7 +39,7 @@
 	choice := ps.pool.newChoice(t, now)
 	fits := false
 	for _, w := range ps.usable {
-		if ps.reservedWorkers[w] || !need.Fits(w.free()) {
+		if ps.reservedWorkers[w] || !w.hasRoom(need, 0) {
 			continue
 		}
 		fits = true
@@ -240,7 +240,7 @@
 		if s.MaxPerWorker > 0 && counts[w] >= s.MaxPerWorker {
 			continue
 		}
-		if satisfiesConstraints(s, t, w) && s.reserved().Add(taken[w]).Fits(w.free()) {
+		if satisfiesConstraints(s, t, w) && w.hasRoom(s.reserved().Add(taken[w]), counts[w]) {
 			return w
 		}
 	}
--- a/job/worker.go
+++ b/job/worker.go
@@ -323,8 +323,14 @@
 	}
 }
 
-// free returns the free capacity of a worker.
-func (w *worker) free() Resources { return w.info.Capacity.Sub(w.used) }
+// maxWorkerRuns is the number of runs that a worker may have. Tasks that need little or nothing would otherwise be as many as there
+// are, and the worker's reports with them.
+const maxWorkerRuns = 1024
+
+// hasRoom reports whether a worker has the free capacity for a request beside the given number of further runs.
+func (w *worker) hasRoom(need Resources, further int) bool {
+	return len(w.runs)+further < maxWorkerRuns && need.Fits(w.info.Capacity.Sub(w.used))
+}
 
 // WorkerStatus is what the owner's links need to know about a worker.
 type WorkerStatus struct {
