follower: TestProposeError clears the fault only after the attempt has met it

Cause: the test took an append as under way when the follower had marked it, and cleared the fault at once. The fake log reads its fault later, so the append could find none and be stored: 'fault 5: the change was appended after its caller returned'. Traced with a pause of 2 ms in the fake before it reads the fault: three of three runs failed with the message of the known failure.

Change: the test also waits until the fake log was asked for the fault. Its checks are the same.

Result: with the same pause three of three runs pass.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,7 +103,8 @@
 		cfg.AppendTimeout = time.Hour
 		f, _ := start(t, cfg)
 		<-f.Loaded()
-		l.set(always(tc.fault), always(faultNone))
+		var reached atomic.Bool // the attempt has met the fault
+		l.set(func(string) fault { reached.Store(true); return tc.fault }, always(faultNone))
 		c := putVM("vm-1", "p1", 0)
 		c.ID = statelog.RecordID{1}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -115,7 +117,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			p := f.pending[c.ID]
-			return p != nil && (p.attempts == 1 || p.inFlight && tc.fault == faultHang)
+			return p != nil && reached.Load() && (p.attempts == 1 || p.inFlight && tc.fault == faultHang)
 		})
 		cancel()
 		var pe *ProposeError
