review: case 12 with four nodes and six cuts

Change: six cuts, 12.5 s apart; the store gives the pool to the node that joins next; nodes listen on a loopback IP of their own.

--- a/review/harness3/group.go
+++ b/review/harness3/group.go
@@ -91,8 +91,9 @@
 	}
 	answer(rw, map[string]any{"generation": s.generation, "parts": parts})
 	if s.dealAfter >= 0 && s.owners[s.dealAfter] == c.MemberID {
+		part := s.dealAfter
 		s.dealAfter = -1
-		s.deal()
+		s.deal(part)
 	}
 }
 
@@ -156,12 +157,25 @@
 	}
 }
 
-// deal reassigns all partitions at once, without any request. The caller holds s.mu.
-func (s *storeFront) deal() {
-	s.offset++
+// deal reassigns all partitions at once, without any request. A partition gets the member, other than its current one, that has not
+// joined for the longest time, and the others follow in turn. The caller holds s.mu.
+func (s *storeFront) deal(part int) {
+	best, first := 0, s.offset
+	for i := range len(s.members) {
+		s.offset = first + i
+		candidate := s.members[s.target(part)]
+		if s.target(part) == s.owners[part] {
+			continue
+		}
+		s.offset = first + best
+		if best == 0 || candidate.lastJoin.Before(s.members[s.target(part)].lastJoin) {
+			best = i
+		}
+	}
+	s.offset = first + best
 	s.generation++
-	for part := range s.owners {
-		s.owners[part] = s.target(part)
+	for i := range s.owners {
+		s.owners[i] = s.target(i)
 	}
 	s.record.add("the store deals all partitions anew")
 }
--- a/review/harness3/machines.go
+++ b/review/harness3/machines.go
@@ -82,6 +82,19 @@
 	return out
 }
 
+// inRacks returns the hosts of racks.
+func (m *machines) inRacks(racks []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, h := range m.hosts {
+		if slices.Contains(racks, h.labels[1]) {
+			out = append(out, h.host)
+		}
+	}
+	return out
+}
+
 // ServeHTTP implements http.Handler.
 func (m *machines) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -35,6 +35,8 @@
 	"scheduled-memory": playScheduledMemory,
 	"scheduled-cut":    playScheduledCut,
 	"machine-list":     playMachineList,
+	"checkpoints":      playCheckpoints,
+	"strong-lost":      playStrongLost,
 }
 
 func main() {
--- a/review/harness3/node.go
+++ b/review/harness3/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,11 +27,14 @@
 	exited chan struct{}
 }
 
-// freeAddrs returns addresses with free ports of the loopback interface.
+// freeAddrs returns addresses with free ports of a loopback IP. The IP is not that of the stand-ins and of outgoing connections, which
+// could take a port before the node listens on it.
 func freeAddrs(count int) ([]string, error) {
+	const parts = 250
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(parts), rand.IntN(parts), 1+rand.IntN(parts))
 	var out []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, errors.Wrap(err, "free port")
 		}
@@ -40,7 +45,7 @@
 }
 
 // newNode writes the settings of a node, with the keys of platform/settings.tmpl.
-func newNode(dir, binary, name, store, machines string) (*node, error) {
+func newNode(dir, binary, name string, cpuShare float64, store, machines string) (*node, error) {
 	addrs, err := freeAddrs(4)
 	if err != nil {
 		return nil, err
@@ -49,10 +54,10 @@
 	data, err := json.Marshal(map[string]any{
 		"node": name, "zone": "z", "callers": addrs[0], "readiness": addrs[1], "peers": addrs[2], "admin": addrs[3],
 		"peerKey": "berylwharf-nodes-of-one-system", "store": store, "machines": machines,
-		"cpuShare": 0.4, "cpuSpeed": 1, "memoryMB": 284, "maxFDs": 4100, "shards": storeParts,
+		"cpuShare": cpuShare, "cpuSpeed": 1, "memoryMB": 284, "maxFDs": 4100, "shards": storeParts,
 		"bounds": map[string]any{
 			"maxLeaseMs": maxHold.Milliseconds(), "graceS": 6, "statusS": 120, "rackFactor": 3, "stopMs": 900, "orderLeaseMs": 3000,
-			"configMs": 2000, "callBytes": 2097152, "recordBytes": 262144,
+			"configMs": 2000, "callBytes": 2097152, "recordBytes": recordBytes,
 		},
 	})
 	if err != nil {
--- a/review/harness3/scheduled.go
+++ b/review/harness3/scheduled.go
@@ -150,26 +150,27 @@
 	// bulkInterval.
 	bulkJobs     = 300
 	bulkSpread   = 3 * time.Second
-	bulkInterval = 12 * time.Second
+	bulkInterval = 12500 * time.Millisecond
 	// bulkRunTime is how long a work unit of the batch runs.
 	bulkRunTime = 3 * time.Second
 	// cutTime is how long workers lose the path to a node.
 	cutTime = 5 * time.Second
 	// cutRounds is the number of cuts.
-	cutRounds = 3
+	cutRounds = 6
 	// cutWorkers is the number of workers that are cut off, a fifth of all.
 	cutWorkers = 2
 	allWorkers = 10
+	cutNodes   = 4
 )
 
 // playScheduledCut has jobs of a batch that are due one after the other. While they come due, a fifth of the workers lose the path
-// to one node of three for 5 s, and the store deals all partitions anew, so that this node becomes the owner of the pool.
+// to one node of four for 5 s, and the store deals all partitions anew, so that this node becomes the owner of the pool.
 func playScheduledCut(w *world, trouble bool) (*verdict, error) {
 	if err := addWorkers(w, allWorkers, func(string, string) (time.Duration, bool) { return bulkRunTime, false }); err != nil {
 		return nil, err
 	}
 	w.configure([]route{{"reminders", pool}}, map[string]bool{pool: false})
-	if err := w.startNodes(3); err != nil {
+	if err := w.startNodes(cutNodes); err != nil {
 		return nil, err
 	}
 	start := time.Now().Add(5 * time.Second)
--- a/review/harness3/waves.go
+++ b/review/harness3/waves.go
@@ -16,15 +16,20 @@
 	// servingPool runs the lasting job, sparePool is on standby.
 	servingPool, sparePool = "kiosk", "spare"
 	servingMachines        = 3
-	spareMachines          = 8
+	spareMachines          = 14
 	// lastingUnits is the number of work units of the lasting job, at most one a worker; missBudget of them may be away.
-	lastingUnits = 8
+	lastingUnits = 12
 	missBudget   = 1
 	// outageTime is how long the machine service is silent.
 	outageTime = 3700 * time.Millisecond
+	// The wave names two racks, 8 of 17 machines, and permits four at once.
 	waveNumber = 7
+	waveCap    = 4
 )
 
+// waveRacks are the racks whose machines are due for upkeep.
+var waveRacks = []string{"r1-1", "r1-2"}
+
 // playMachineList submits a lasting job for which machines move from standby. Right after the moves the machine service is silent
 // for some seconds. Meanwhile the operator asks for the upkeep of the machines.
 func playMachineList(w *world, trouble bool) (*verdict, error) {
@@ -73,10 +78,10 @@
 	return &verdict{violations, fmt.Sprintf("%d lasting work units, %d ended by orders beyond missBudget %d", lastingUnits, len(violations), missBudget)}, nil
 }
 
-// declareWave asks for the upkeep of all machines of the serving pool that came from standby.
+// declareWave asks for the upkeep of the machines of two racks.
 func (w *world) declareWave() {
-	hosts := w.machines.inPool(servingPool)
-	b, _ := json.Marshal(map[string]any{"wave": waveNumber, "machines": hosts, "deadlineS": 24.0, "cap": 4})
+	hosts := w.machines.inRacks(waveRacks)
+	b, _ := json.Marshal(map[string]any{"wave": waveNumber, "machines": hosts, "deadlineS": 24.0, "cap": waveCap})
 	w.store.Put("keyed.op", fmt.Sprintf("wave/%d", waveNumber), b)
 	w.record.add("operator: wave %d with %s", waveNumber, strings.Join(hosts, " "))
 }
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -29,6 +29,7 @@
 type unitRun struct {
 	worker    string
 	task      string
+	spec      string
 	number    int
 	fence     int64
 	startedAt time.Time
@@ -120,6 +121,13 @@
 	return w.fence
 }
 
+// hasLeft reports whether the worker's life has ended.
+func (w *worker) hasLeft() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gone
+}
+
 // load returns the number of work units that run.
 func (w *worker) load() int {
 	w.mu.Lock()
@@ -233,7 +241,7 @@
 		return
 	}
 	if r == nil {
-		r = &unitRun{worker: w.id, task: c.Task, number: c.Run, fence: c.FencingToken, startedAt: time.Now()}
+		r = &unitRun{worker: w.id, task: c.Task, spec: c.Spec, number: c.Run, fence: c.FencingToken, startedAt: time.Now()}
 		r.duration, r.lasting = w.behavior(c.Task, c.Spec)
 		w.running[c.Task] = r
 		w.runs = append(w.runs, r)
@@ -274,14 +282,25 @@
 		if u.lasting && time.Since(u.startedAt) < lastingStartup {
 			percent = 0
 		}
-		running = append(running, []any{u.task, u.number, "", percent, 0})
+		running = append(running, []any{u.task, u.number, w.saved(u), percent, 0})
 	}
 	for _, e := range w.ended[:min(len(w.ended), listedEnds)] {
-		finished = append(finished, []any{e.number, e.run.task, e.run.number, e.run.how, ""})
+		finished = append(finished, []any{e.number, e.run.task, e.run.number, e.run.how, w.saved(e.run)})
 	}
 	w.reply(rw, http.StatusOK, map[string]any{"running": running, "finished": finished})
 }
 
+// savingSpec is the specification of jobs that save their progress.
+const savingSpec = "saving"
+
+// saved returns the saved value of a run. One that is done has none.
+func (w *worker) saved(u *unitRun) string {
+	if u.spec != savingSpec || u.how == "done" {
+		return ""
+	}
+	return u.task + strings.Repeat("0", savedBytes-len(u.task))
+}
+
 // judgeTwice returns the violations of the rule TWICE among the runs of the workers.
 func judgeTwice(r *record, workers []*worker) []string {
 	byTask := make(map[string][]unitRun)
--- a/review/harness3/world.go
+++ b/review/harness3/world.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 const (
 	// storeParts is the number of partitions of a topic.
 	storeParts = 32
+	// recordBytes is the size of the largest record that the store accepts.
+	recordBytes = 262144
 	// pingInterval is the time between two entries of a worker in the store.
 	pingInterval = 1500 * time.Millisecond
 	// callTimeout is how long a client waits for an answer.
@@ -58,6 +61,7 @@
 	}
 	w := &world{record: newRecord(), dir: dir, binary: binary, store: standin.NewStore(storeParts), client: &http.Client{Timeout: callTimeout}}
 	w.ctx, w.stop = context.WithCancel(context.Background())
+	w.store.RecordBytes = recordBytes
 	w.front = newStoreFront(w.store, w.record)
 	w.storeSrv = httptest.NewServer(w.front)
 	w.machines = newMachines(w)
@@ -85,8 +89,14 @@
 
 // startNodes starts count nodes and waits until all are ready.
 func (w *world) startNodes(count int) error {
-	for i := range count {
-		n, err := newNode(w.dir, w.binary, fmt.Sprintf("edge-%d", i), w.storeSrv.Listener.Addr().String(), w.machines.server.Listener.Addr().String())
+	const share = 0.4
+	return w.startNodesWith(slices.Repeat([]float64{share}, count))
+}
+
+// startNodesWith starts nodes with the given shares of a core and waits until all are ready.
+func (w *world) startNodesWith(shares []float64) error {
+	for i, share := range shares {
+		n, err := newNode(w.dir, w.binary, fmt.Sprintf("edge-%d", i), share, w.storeSrv.Listener.Addr().String(), w.machines.server.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -139,10 +149,7 @@
 		case <-time.After(pingInterval):
 		}
 		for _, k := range w.allWorkers() {
-			k.mu.Lock()
-			gone := k.gone
-			k.mu.Unlock()
-			if !gone {
+			if !k.hasLeft() {
 				w.store.Put("keyed.servers", k.id, k.entry(seq))
 			}
 		}
@@ -179,6 +186,8 @@
 	MaxPerServer int   `json:"maxPerServer,omitempty"`
 	Daemon       bool  `json:"daemon,omitempty"`
 	MissBudget   int   `json:"missBudget,omitempty"`
+	// Checkpointable work units save their progress.
+	Checkpointable bool `json:"checkpointable,omitempty"`
 }
 
 // jobBody is the body of a submission.
