review: case 15, bodies of legal size whose steps are null take nodes over their memory

Cause: connlimit charges a body by its braces and commas; a null in the list of steps decodes into a whole step.

--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -37,6 +37,7 @@
 	"machine-list":     playMachineList,
 	"checkpoints":      playCheckpoints,
 	"strong-lost":      playStrongLost,
+	"crowd":            playCrowd,
 }
 
 func main() {
--- a/review/harness3/node.go
+++ b/review/harness3/node.go
@@ -18,6 +18,9 @@
 // readyTimeout limits the time until a node is ready. It allows for a busy machine.
 const readyTimeout = 20 * time.Second
 
+// nodeMemoryMB is the memory of a node's machine.
+const nodeMemoryMB = 284
+
 // node is a node of the job manager that runs as a process of its own.
 type node struct {
 	name, binary, settings, front, readiness string
@@ -54,7 +57,7 @@
 	data, err := json.Marshal(map[string]any{
 		"node": name, "zone": "z", "callers": addrs[0], "readiness": addrs[1], "peers": addrs[2], "admin": addrs[3],
 		"peerKey": "berylwharf-nodes-of-one-system", "store": store, "machines": machines,
-		"cpuShare": cpuShare, "cpuSpeed": 1, "memoryMB": 284, "maxFDs": 4100, "shards": storeParts,
+		"cpuShare": cpuShare, "cpuSpeed": 1, "memoryMB": nodeMemoryMB, "maxFDs": 4100, "shards": storeParts,
 		"bounds": map[string]any{
 			"maxLeaseMs": maxHold.Milliseconds(), "graceS": 6, "statusS": 120, "rackFactor": 3, "stopMs": 900, "orderLeaseMs": 3000,
 			"configMs": 2000, "callBytes": 2097152, "recordBytes": recordBytes,
@@ -129,3 +132,13 @@
 	}
 	return errors.Errorf("%s is not ready", n.name)
 }
+
+// hasEnded says whether the process has ended by itself.
+func (n *node) hasEnded() bool {
+	select {
+	case <-n.exited:
+		return true
+	default:
+		return false
+	}
+}
