jobmanager: a weak node logs for which strong members it waits

Three explanations could not be told apart: the list of owners still names the killed nodes, the list is not read, or joining the group fails.

--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -86,6 +86,8 @@
 	vacant           map[int]bool
 	vacantGeneration int64          // generation of the group to which vacant refers
 	owners           map[int]string // member by shard
+	ownersReadAt     time.Duration  // steady time of the read that gave owners
+	strongLinkedAt   time.Duration  // steady time at which a strong owner was last seen to have a link
 	waves            map[int64]fleet.Wave
 	// wantedUntil holds, by shard, until when a connection to its owner is kept although no route leads to it.
 	wantedUntil map[int]time.Duration
@@ -121,9 +123,11 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.entries.Store(&directoryView{})
 	n.strongSeenAt.Store(int64(clock.Now().Steady))
+	n.strongLinkedAt = clock.Now().Steady
 	n.handlePeers()
 	n.registerConfigGauges()
 	n.registerJobMemory()
+	n.registerTakeoverGauges()
 	return n
 }
 
@@ -135,6 +139,9 @@
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followOwners)
 	n.wg.Go(n.maintainMembership)
+	if !n.settings.strong() {
+		n.wg.Go(n.watchTakeoverWait)
+	}
 	<-ctx.Done()
 	n.handOver()
 }
--- a/jobmanager/owners.go
+++ b/jobmanager/owners.go
@@ -33,12 +33,12 @@
 		return
 	}
 	for _, member := range owners {
-		if !strings.HasSuffix(member, weakSuffix) {
+		if isStrongMember(member) {
 			n.strongSeenAt.Store(int64(n.clock.Now().Steady))
 		}
 	}
 	n.mu.Lock()
-	n.owners = owners
+	n.owners, n.ownersReadAt = owners, startedAt
 	n.mu.Unlock()
 	n.connectOwners(owners)
 }
@@ -103,6 +103,9 @@
 // weakSuffix marks the member names of nodes that are not strong.
 const weakSuffix = "~"
 
+// isStrongMember reports whether a member name is that of a strong node.
+func isStrongMember(member string) bool { return !strings.HasSuffix(member, weakSuffix) }
+
 // memberName returns the name under which a node joins the group: NODE@ADDRESS, followed by weakSuffix if the node is
 // not strong.
 func memberName(s *Settings) string {
--- /dev/null
+++ b/jobmanager/takeoverwait.go
@@ -0,0 +1,89 @@
+package jobmanager
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// takeoverWaitCheckInterval is the time between checks whether a node waits for strong members.
+	takeoverWaitCheckInterval = 200 * time.Millisecond
+	// takeoverWaitLogTime is how long strong members must have been without a sign of life before a node logs that it
+	// waits for them.
+	takeoverWaitLogTime = 2 * time.Second
+	// takeoverWaitLogInterval is the time between log lines while a node waits.
+	takeoverWaitLogInterval = 5 * time.Second
+)
+
+// watchTakeoverWait logs when a node that is not strong waits for strong members without a sign of life of them, and
+// when that ends. Nobody may own the shards then.
+func (n *Node) watchTakeoverWait() {
+	waiting, loggedAt := false, time.Duration(0)
+	for n.ctx.Err() == nil {
+		now := n.clock.Now().Steady
+		silence := n.strongSilence()
+		switch {
+		case silence > takeoverWaitLogTime && (!waiting || now-loggedAt >= takeoverWaitLogInterval):
+			waiting, loggedAt = true, now
+			n.log.Event(LogEvent{
+				Component: "node", Event: "waits for strong members", AgeMs: silence.Milliseconds(), Reason: n.describeStrongMembers(now),
+			})
+		case waiting && silence <= takeoverWaitLogTime:
+			waiting = false
+			n.log.Event(LogEvent{Component: "node", Event: "waits no longer for strong members"})
+		}
+		sleep(n.ctx, takeoverWaitCheckInterval)
+	}
+}
+
+// describeStrongMembers names the strong members in the list of owners with their links, and the age of the list.
+func (n *Node) describeStrongMembers(now time.Duration) string {
+	connected := n.peers.ConnectedNodes()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var members []string
+	for _, member := range n.owners {
+		node, _, err := splitMember(member)
+		if err != nil || !isStrongMember(member) {
+			continue
+		}
+		if !slices.Contains(connected, node) {
+			node += " (no link)"
+		}
+		members = append(members, node)
+	}
+	slices.Sort(members)
+	return fmt.Sprintf("listed as owners %d ms ago: %s", (now - n.ownersReadAt).Milliseconds(), strings.Join(slices.Compact(members), ", "))
+}
+
+// registerTakeoverGauges registers the gauge of the time in milliseconds since the last sign of life of a strong member, 0
+// on a node that does not wait for any.
+func (n *Node) registerTakeoverGauges() {
+	// The registry is new, so the names are not taken.
+	_ = n.metrics.registry.Register("owners.strong.silence.ms", metrics.NewFunctionalGauge(func() int64 {
+		return n.strongSilence().Milliseconds()
+	}))
+}
+
+// strongSilence returns the time since the last sign of life of a strong member: a link to one that is listed as an owner.
+// It returns 0 on a strong node and on a member of the group.
+func (n *Node) strongSilence() time.Duration {
+	now := n.clock.Now()
+	if n.settings.strong() || n.confirmed(now) {
+		return 0
+	}
+	connected := n.peers.ConnectedNodes()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, member := range n.owners {
+		if node, _, err := splitMember(member); err == nil && isStrongMember(member) && slices.Contains(connected, node) {
+			n.strongLinkedAt = now.Steady
+			return 0
+		}
+	}
+	return now.Steady - n.strongLinkedAt
+}
