jobmanager: a listed owner is no proof that a strong member lives

Cause: weak nodes join the group 3 s after they last saw a strong member, and they saw one as long as the store's list of owners named it. The store names an expired member until another member joins. So each waited for what only its own joining could bring. The same list, when it could not be read for 3 s, made a weak node join beside strong ones that lived, because only successful reads moved the time.

Ruled out: a list that is not read, joins that fail.

Change: strongMembers, a core without I/O, takes as proof a heartbeat that says that its sender is a confirmed strong member; growth of the log of shard 0, of which a strong owner stores something each second; and the list only once this node has been a member for longer than the TTL. The lack of proofs counts only while the store answers. Weak nodes let the group settle before they load shards, and give them back when a strong member has lived for 3 s.

Why it works: each proof ends with the membership of the strong node, whatever the store goes on listing; a cut between weak and strong nodes leaves the log, a cut from the store alone ends the heartbeats' claim.

--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -146,10 +146,13 @@
 	return peer.New(peer.Config{
 		Node: s.Node, Incarnation: uint64(time.Now().UnixNano()), Key: s.PeerKey, Listener: l, Protect: d.protect("peers", false),
 		Heartbeat: func() peer.Heartbeat {
-			return peer.Heartbeat{Node: s.Node, Zone: s.Zone, Draining: !d.node.Ready()}
+			return peer.Heartbeat{Node: s.Node, Zone: s.Zone, Draining: !d.node.Ready(), StrongMember: d.node.StrongMember()}
 		},
-		OnHeartbeat: func(from string, hb peer.Heartbeat) { d.workers.Heartbeat(from, hb) },
-		OnLink:      func(node string, up bool) { d.workers.LinkChanged(node, up) },
+		OnHeartbeat: func(from string, hb peer.Heartbeat) {
+			d.workers.Heartbeat(from, hb)
+			d.node.Heartbeat(hb)
+		},
+		OnLink: func(node string, up bool) { d.workers.LinkChanged(node, up) },
 		OnPanic: func(_ string, reason error) {
 			d.log.Event(jobmanager.LogEvent{Component: "peers", Event: "handler panicked", Reason: reason.Error()})
 		},
--- a/jobmanager/api.go
+++ b/jobmanager/api.go
@@ -30,6 +30,8 @@
 	// Load returns the newest record of each key, and the end of the shard's log at the time when the load began. It bounds itself by
 	// the progress of its transfers, because they grow with the number of records.
 	Load(ctx context.Context, shard int) (records []job.Record, end int64, err error)
+	// End returns the end of the shard's log.
+	End(ctx context.Context, shard int) (int64, error)
 	// Claim makes epoch the lowest epoch that may write to a shard, and stores a record as append seq of that epoch. It
 	// returns ErrLogExtended if the log no longer ends at end or if another claim has used the epoch. The store takes a
 	// claim with the epoch and seq of a stored one for its repetition, so claimants must not share a seq.
--- a/jobmanager/commit.go
+++ b/jobmanager/commit.go
@@ -21,6 +21,9 @@
 	commitRejectTimeout = 300 * time.Millisecond
 	// minUploadRate is the rate in bytes per second at which the slowest link carries an append.
 	minUploadRate = 128 << 10
+	// ownerRecordInterval is the longest time between appends of a strong owner of the fleet shard. Nodes that are not strong
+	// tell by them that it lives.
+	ownerRecordInterval = time.Second
 	// refusalPeriod is how long new jobs are refused after a rejected commit. The first job after it tries the store
 	// again.
 	refusalPeriod = 400 * time.Millisecond
@@ -75,6 +78,16 @@
 	})
 }
 
+// extendLog stores a record without content if the owner of the fleet shard has stored nothing for ownerRecordInterval.
+func (s *shard) extendLog(now job.Time) {
+	if s.number != fleetShard || !s.node.settings.strong() || s.commitStartedAt != 0 || len(s.extraRecords) > 0 {
+		return
+	}
+	if now.Steady-s.lastCommitAt >= ownerRecordInterval {
+		s.store(job.Record{Key: ownerCheckKey}, nil)
+	}
+}
+
 // storeRecords appends the records of a commit, split into calls of the permitted size. It returns errCommitRejected if
 // the store rejected every attempt of the first call for commitRejectTimeout.
 func (s *shard) storeRecords(records []job.Record) error {
--- a/jobmanager/commit_test.go
+++ b/jobmanager/commit_test.go
@@ -26,6 +26,8 @@
 
 func (s *faultyStore) Load(context.Context, int) ([]job.Record, int64, error) { return nil, 0, nil }
 
+func (s *faultyStore) End(context.Context, int) (int64, error) { return 0, nil }
+
 func (s *faultyStore) Claim(context.Context, int, int64, int64, int64, job.Record) error { return nil }
 
 func (s *faultyStore) Append(ctx context.Context, _ int, _, _ int64, _ []job.Record) error {
--- a/jobmanager/membership.go
+++ b/jobmanager/membership.go
@@ -19,8 +19,11 @@
 	joinInterval = 450 * time.Millisecond
 	// joinTimeout bounds one confirmation.
 	joinTimeout = 420 * time.Millisecond
-	// weakTakeoverDelay is how long no strong member must have been seen before nodes that are not strong own shards.
-	weakTakeoverDelay = 3 * time.Second
+	// settleTime is how long a node that is not strong waits at most, after it has joined the group, until the group stops
+	// changing. Such nodes join at the same time, and each would load shards that go to the others next.
+	settleTime = time.Second
+	// settlePause is the delay between confirmations of the membership while the group changes.
+	settlePause = 100 * time.Millisecond
 	// readRetryDelay is the delay after a failed read or a failed confirmation of the membership.
 	readRetryDelay = 200 * time.Millisecond
 )
@@ -53,8 +56,13 @@
 		}
 		changed := m.Generation != generation
 		generation = m.Generation
+		if changed && n.settling(sent) {
+			n.confirmMembership(sent)
+			sleep(n.ctx, settlePause)
+			continue
+		}
 		n.updateOwnership(m)
-		n.confirmedUntil.Store(int64(sent.Steady + membershipTTL))
+		n.confirmMembership(sent)
 		if changed {
 			n.log.Event(LogEvent{Component: "node", Event: "shards assigned", Epoch: m.Generation, Count: len(m.Shards)})
 			n.wakeUp(n.refreshOwners)
@@ -64,20 +72,20 @@
 	}
 }
 
-// shouldOwnShards reports whether the node should own shards: it is strong, or no strong member has been seen for
-// weakTakeoverDelay.
-func (n *Node) shouldOwnShards(now job.Time) bool {
-	return n.settings.strong() || int64(now.Steady)-n.strongSeenAt.Load() > int64(weakTakeoverDelay)
+// confirmMembership records that the store has answered a join that was sent at a time.
+func (n *Node) confirmMembership(sent job.Time) {
+	if !n.confirmed(sent) {
+		n.memberSince.Store(int64(sent.Steady))
+	}
+	n.confirmedUntil.Store(int64(sent.Steady + membershipTTL))
 }
 
-// yieldToStrongNodes releases the shards of a node that is not strong, because strong nodes are available again.
-// Settings.strong defines a strong node.
-func (n *Node) yieldToStrongNodes() {
-	if n.confirmedUntil.Swap(0) == 0 {
-		return
+// memberFor returns how long the node has been a member without a gap, or 0 if it is none.
+func (n *Node) memberFor(now job.Time) time.Duration {
+	if !n.confirmed(now) {
+		return 0
 	}
-	n.log.Event(LogEvent{Component: "node", Event: "yielding to strong nodes"})
-	n.releaseShards("strong nodes are back")
+	return now.Steady - time.Duration(n.memberSince.Load())
 }
 
 // releaseShards releases all shards and leaves the group.
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -74,10 +74,16 @@
 	leaving               atomic.Bool
 	machineOrdersInFlight atomic.Int32 // machine orders without a result so far
 	storeDownSince        atomic.Int64 // steady time in nanoseconds since which reads of the owners fail; 0 if they succeed
-	strongSeenAt          atomic.Int64 // steady time in nanoseconds at which a strong member was last seen
+	memberSince           atomic.Int64 // steady time in nanoseconds of the first join without a gap in the confirmations
+	strongMembers         *strongMembers
 
 	connectedOwners map[int]string // owners to which connections are kept; used by followOwners only
 
+	// substitutes is whether a node that is not strong owns shards in place of strong members, and since when. Used by
+	// maintainMembership only.
+	substitutes      bool
+	substitutesSince time.Duration
+
 	operatorsMu sync.Mutex // held while a change of the operators is applied
 
 	mu     sync.Mutex
@@ -87,7 +93,6 @@
 	vacantGeneration int64          // generation of the group to which vacant refers
 	owners           map[int]string // member by shard
 	ownersReadAt     time.Duration  // steady time of the read that gave owners
-	strongLinkedAt   time.Duration  // steady time at which a strong owner was last seen to have a link
 	waves            map[int64]fleet.Wave
 	// wantedUntil holds, by shard, until when a connection to its owner is kept although no route leads to it.
 	wantedUntil map[int]time.Duration
@@ -122,8 +127,7 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.entries.Store(&directoryView{})
-	n.strongSeenAt.Store(int64(clock.Now().Steady))
-	n.strongLinkedAt = clock.Now().Steady
+	n.strongMembers = newStrongMembers(clock.Now().Steady)
 	n.handlePeers()
 	n.registerConfigGauges()
 	n.registerJobMemory()
@@ -140,6 +144,7 @@
 	n.wg.Go(n.followOwners)
 	n.wg.Go(n.maintainMembership)
 	if !n.settings.strong() {
+		n.wg.Go(n.watchStrongMembers)
 		n.wg.Go(n.watchTakeoverWait)
 	}
 	<-ctx.Done()
--- a/jobmanager/owners.go
+++ b/jobmanager/owners.go
@@ -29,14 +29,11 @@
 	owners, err := n.group.Owners(ctx)
 	n.recordStoreAnswer(err == nil, startedAt)
 	if err != nil {
+		n.strongMembers.recordReadFailure()
 		n.log.Event(LogEvent{Component: "node", Event: "shard owners not read", Reason: err.Error()})
 		return
 	}
-	for _, member := range owners {
-		if isStrongMember(member) {
-			n.strongSeenAt.Store(int64(n.clock.Now().Steady))
-		}
-	}
+	n.proveListedMembers(owners, startedAt)
 	n.mu.Lock()
 	n.owners, n.ownersReadAt = owners, startedAt
 	n.mu.Unlock()
@@ -103,8 +100,10 @@
 // weakSuffix marks the member names of nodes that are not strong.
 const weakSuffix = "~"
 
-// isStrongMember reports whether a member name is that of a strong node.
-func isStrongMember(member string) bool { return !strings.HasSuffix(member, weakSuffix) }
+// isStrongMember reports whether a member name is that of a strong node. It is false for an empty name.
+func isStrongMember(member string) bool {
+	return member != "" && !strings.HasSuffix(member, weakSuffix)
+}
 
 // memberName returns the name under which a node joins the group: NODE@ADDRESS, followed by weakSuffix if the node is
 // not strong.
--- a/jobmanager/predecessor_test.go
+++ b/jobmanager/predecessor_test.go
@@ -67,6 +67,8 @@
 	return []job.Record{{Key: claimKey, Value: value}}, 0, err
 }
 
+func (s *claimStore) End(context.Context, int) (int64, error) { return 0, nil }
+
 func (s *claimStore) Claim(_ context.Context, _ int, _, _, _ int64, r job.Record) error {
 	return s.add(r)
 }
--- a/jobmanager/release_test.go
+++ b/jobmanager/release_test.go
@@ -20,6 +20,8 @@
 
 func (s *recordingStore) Load(context.Context, int) ([]job.Record, int64, error) { return nil, 0, nil }
 
+func (s *recordingStore) End(context.Context, int) (int64, error) { return 0, nil }
+
 func (s *recordingStore) Claim(context.Context, int, int64, int64, int64, job.Record) error {
 	return nil
 }
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -301,6 +301,7 @@
 			s.node.metrics.recordInterference(name, stats)
 		}
 	}
+	s.extendLog(now)
 	s.commit(now)
 }
 
--- a/jobmanager/takeoverwait.go
+++ b/jobmanager/takeoverwait.go
@@ -14,7 +14,7 @@
 	takeoverWaitCheckInterval = 200 * time.Millisecond
 	// takeoverWaitLogTime is how long strong members must have been without a sign of life before a node logs that it
 	// waits for them.
-	takeoverWaitLogTime = 2 * time.Second
+	takeoverWaitLogTime = 2500 * time.Millisecond
 	// takeoverWaitLogInterval is the time between log lines while a node waits.
 	takeoverWaitLogInterval = 5 * time.Second
 )
@@ -57,7 +57,9 @@
 		members = append(members, node)
 	}
 	slices.Sort(members)
-	return fmt.Sprintf("listed as owners %d ms ago: %s", (now - n.ownersReadAt).Milliseconds(), strings.Join(slices.Compact(members), ", "))
+	return fmt.Sprintf("listed as owners %d ms ago: %s; log of shard %d not extended by them for %d ms",
+		(now - n.ownersReadAt).Milliseconds(), strings.Join(slices.Compact(members), ", "),
+		fleetShard, n.strongMembers.logSilentFor(now).Milliseconds())
 }
 
 // registerTakeoverGauges registers the gauge of the time in milliseconds since the last sign of life of a strong member, 0
@@ -69,21 +71,12 @@
 	}))
 }
 
-// strongSilence returns the time since the last sign of life of a strong member: a link to one that is listed as an owner.
-// It returns 0 on a strong node and on a member of the group.
+// strongSilence returns the time since a strong member was last proved alive; 0 on a strong node and on a member of the
+// group.
 func (n *Node) strongSilence() time.Duration {
 	now := n.clock.Now()
 	if n.settings.strong() || n.confirmed(now) {
 		return 0
 	}
-	connected := n.peers.ConnectedNodes()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, member := range n.owners {
-		if node, _, err := splitMember(member); err == nil && isStrongMember(member) && slices.Contains(connected, node) {
-			n.strongLinkedAt = now.Steady
-			return 0
-		}
-	}
-	return now.Steady - n.strongLinkedAt
+	return n.strongMembers.unprovenFor(now.Steady)
 }
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -36,6 +36,9 @@
 	Health []WorkerHealth `cbor:"11,keyasint,omitempty"`
 	// TableOffset is the offset before which all records are in effect in the node's routing table.
 	TableOffset uint64 `cbor:"12,keyasint,omitempty"`
+	// StrongMember means that the node is a confirmed member of the group of shard owners and strong enough to be one beside any
+	// other. It is set by nodes of the job manager only.
+	StrongMember bool `cbor:"13,keyasint,omitempty"`
 }
 
 // MaxHealthEntries is the maximum number of workers in Heartbeat.Health. It limits the size of heartbeats in an outage
