jobmanager: a shard that is being loaded answers calls at once

What callers saw: a call that reached the new owner while it loaded the shard waited in the owner's inbox, up to 1.5 s an attempt, counted as one of unknown outcome, and was answered with 504 at the caller's deadline. On a weak node with a slow link a load can take seconds.

Cause: a shard took calls from the moment it was assigned; its loop, which handles them, begins when the records are loaded.

--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -267,8 +267,12 @@
 	return reply{Code: codeUncertain}
 }
 
-// serve answers a call as the owner of its shard.
+// serve answers a call as the owner of its shard. While the shard is being loaded, which can take seconds on a slow link, the
+// call has no effect.
 func (n *Node) serve(ctx context.Context, s *shard, kind string, c call) reply {
+	if !s.serving.Load() {
+		return reply{Code: codeNotOwner}
+	}
 	switch kind {
 	case typeSubmit:
 		return outcomeReply(s.submit(ctx, c))
--- a/jobmanager/forward_test.go
+++ b/jobmanager/forward_test.go
@@ -30,3 +30,12 @@
 		}
 	}
 }
+
+// TestLoadingShardAnswersAtOnce guards against callers that learn at their deadline only that their call may have run, because the
+// new owner of the shard was still loading it.
+func TestLoadingShardAnswersAtOnce(t *testing.T) {
+	n := newTestShard(t, &recordingStore{}).node
+	if r := n.serve(context.Background(), newShard(n, 1), typeState, call{Pool: "p", ID: "j"}); r.Code != codeNotOwner {
+		t.Errorf("code %d, want %d", r.Code, codeNotOwner)
+	}
+}
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -100,6 +100,8 @@
 	previousClaim                      claim                // claim of the previous owner
 	unsettled                          atomic.Bool          // an earlier owner may still send orders
 	appendsClosed                      bool                 // no append may follow the release record; later changes are left to the successor
+	// serving means that the shard's records are loaded.
+	serving atomic.Bool
 	// releasing means that the shard is being handed over: no new jobs are accepted and no orders are sent.
 	releasing         atomic.Bool
 	commitStartedAt   time.Duration // start of the commit in progress; 0 if there is none
@@ -184,6 +186,7 @@
 		AgeMs: (s.node.clock.Now().Steady - s.takeoverStart.Steady).Milliseconds(),
 	})
 	s.restoreQueues(s.loaded.Other)
+	s.serving.Store(true)
 	if s.number == fleetShard {
 		s.node.wg.Go(func() {
 			defer s.recoverPanic()
