jobmanager: calls for the shards of missing strong members are refused at once

What callers saw: between the loss of all strong nodes and the takeover by weak ones a call waited 1.2 s for an owner, or 1.5 s for an answer of a silent link, and was then asked to return after 1 s, up to three times in vain.

Cause: the node that forwards a call did not use what it knows: that neither heartbeats nor the log of shard 0 show a strong member.

Change: from then on a call for a shard with a strong owner is refused as not run at once, with the time until the takeover is expected to be over as Retry-After (5 s from the last sign of life, at least 1 s). Calls with an uncertain attempt go on as before.

--- a/jobmanager/forward.go
+++ b/jobmanager/forward.go
@@ -217,8 +217,13 @@
 		case codeNotOwner:
 		}
 		n.wakeUp(n.refreshOwners)
+		now := n.clock.Now()
+		takeoverIn, missing := n.takeoverIn(n.shardOf(c.Pool), now)
+		if missing && !uncertain {
+			return reply{}, forwardError(false, takeoverIn)
+		}
 		// While the store is down no other node can become the owner, so waiting would be pointless.
-		giveUp := n.storeDownSince.Load() > 0 || n.clock.Now().Steady-startedAt > ownerWait
+		giveUp := n.storeDownSince.Load() > 0 || now.Steady-startedAt > ownerWait
 		if ctx.Err() != nil || (!uncertain && giveUp) {
 			return reply{}, forwardError(uncertain, retryAfter(n.storeDownFor()))
 		}
@@ -251,6 +256,9 @@
 	if err != nil || node == n.settings.Node {
 		return reply{Code: codeNotOwner}
 	}
+	if _, missing := n.takeoverIn(shard, n.clock.Now()); missing {
+		return reply{Code: codeNotOwner}
+	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	var r reply
--- a/jobmanager/strongmembers.go
+++ b/jobmanager/strongmembers.go
@@ -20,6 +20,8 @@
 	// logSilence is how long the log of the fleet shard must not have grown before its owner counts as gone. The owner
 	// extends it at least each ownerRecordInterval, and a slow store stores that within about 300 ms.
 	logSilence = 2 * time.Second
+	// minLogSilence is how long the log must not have grown before calls for the shards of strong members are refused at once.
+	minLogSilence = 500 * time.Millisecond
 )
 
 // strongMembers judges on a node that is not strong whether a strong member of the group is alive. It does no I/O and is safe
@@ -104,6 +106,11 @@
 // suspicious reports whether the last proof is so old that the store should be asked.
 func (m *strongMembers) suspicious(now time.Duration) bool { return m.unprovenFor(now) > suspicionTime }
 
+// missing reports whether neither a heartbeat nor the store shows a strong member, so that nobody answers for its shards.
+func (m *strongMembers) missing(now time.Duration) bool {
+	return m.suspicious(now) && m.logSilentFor(now) >= minLogSilence
+}
+
 // gone reports whether no strong member has been alive for long enough that other nodes have to own the shards.
 func (m *strongMembers) gone(now time.Duration) bool {
 	return m.unprovenFor(now) > takeoverDelay && m.logSilentFor(now) >= logSilence
--- a/jobmanager/takeoverwait.go
+++ b/jobmanager/takeoverwait.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/berylwharf/berylwharf/job"
 )
 
 const (
@@ -17,6 +19,9 @@
 	takeoverWaitLogTime = 2500 * time.Millisecond
 	// takeoverWaitLogInterval is the time between log lines while a node waits.
 	takeoverWaitLogInterval = 5 * time.Second
+	// takeoverTime is the time from the last proof of a strong member to the first answers of the nodes that take over: the
+	// delay, joining the group, loading the shards, and links to the new owners.
+	takeoverTime = takeoverDelay + 2*time.Second
 )
 
 // watchTakeoverWait logs when a node that is not strong waits for strong members without a sign of life of them, and
@@ -80,3 +85,18 @@
 	}
 	return n.strongMembers.unprovenFor(now.Steady)
 }
+
+// takeoverIn returns the time after which a node that is not strong is expected to answer for a shard of which the strong owner is
+// missing. It returns false if no such takeover is due.
+func (n *Node) takeoverIn(shard int, now job.Time) (time.Duration, bool) {
+	if n.settings.strong() || n.confirmed(now) || !n.strongMembers.missing(now.Steady) {
+		return 0, false
+	}
+	n.mu.Lock()
+	owner, owned := n.owners[shard]
+	n.mu.Unlock()
+	if owned && !isStrongMember(owner) {
+		return 0, false
+	}
+	return max(minRetryAfter, takeoverTime-n.strongMembers.unprovenFor(now.Steady)), true
+}
--- a/jobmanager/weaknode_test.go
+++ b/jobmanager/weaknode_test.go
@@ -280,8 +280,8 @@
 			t.Fatal("the accepted job is denied")
 		case err == nil:
 			t.Logf("answered after %v", time.Since(lostAt))
-			if promised > 0 && time.Since(lostAt) > promised {
-				t.Errorf("answered %v after the loss, a refusal promised %v", time.Since(lostAt), promised)
+			if promised == 0 || time.Since(lostAt) > promised {
+				t.Errorf("answered %v after the loss, the last refusal at once promised %v", time.Since(lostAt), promised)
 			}
 			return
 		case errors.As(err, &refusal) && time.Since(calledAt) == 0:
