--- a/cmd/berylwharf-soak/main.go
+++ b/cmd/berylwharf-soak/main.go
@@ -24,6 +24,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.BoolFlag{Name: "restart-cuts", Usage: "restart workers silently and cut them off within seconds, in place of random faults"},
 			&cli.BoolFlag{Name: "caps", Usage: "lower and raise the caps of tenants in two pools, with faults of owners besides the random ones"},
+			&cli.BoolFlag{Name: "strengths", Usage: "use nodes of two sizes and lose all of the larger ones, besides the random faults"},
 			&cli.IntFlag{Name: "parallel", Usage: "number of concurrent runs", Value: 2},
 		},
 		Action: run,
@@ -78,7 +79,7 @@
 	}
 	defer func() { _ = out.Close() }()
 	res, err := soak.Run(soak.Options{
-		Binary: c.String("bin"), Dir: dir, Seed: seed, RestartCuts: c.Bool("restart-cuts"), Caps: c.Bool("caps"), Out: out,
+		Binary: c.String("bin"), Dir: dir, Seed: seed, RestartCuts: c.Bool("restart-cuts"), Caps: c.Bool("caps"), Strengths: c.Bool("strengths"), Out: out,
 	})
 	if err != nil {
 		fmt.Printf("seed %d: run failed: %v\n", seed, err)
