platform: a process opens at most three connections to a worker

Cause: each process that calls a worker, the owner of its pool and for a large pool a relay, kept up to 12 connections to it. Those of a machine without power stay open at the worker, which accepts 64 and resets the others. The waiting request for a report keeps its connection, so the worker seems well, while each order needs one that is reset.

Change: workers have an HTTP client of their own, with one connection for the request for a report and OrdersPerWorker = 2 for orders. Further orders wait in the process, as before beyond 12.

--- a/jobdaemon/daemon.go
+++ b/jobdaemon/daemon.go
@@ -169,7 +169,7 @@
 	}
 	return jobmanager.Platform{
 		Store: store, Group: store, Directory: directory, Operators: platform.NewOperatorSource(store, jobmanager.SystemClock{}, s.Limits.KeyRevocation()),
-		Workers: platform.NewWorkers(client), Machines: platform.NewMachines(client, s.Machines, store),
+		Workers: platform.NewWorkers(platform.NewWorkerHTTPClient()), Machines: platform.NewMachines(client, s.Machines, store),
 		Advisor: platform.NewAdvisor(client, s.Advice),
 	}
 }
--- a/jobmanager/link.go
+++ b/jobmanager/link.go
@@ -27,10 +27,12 @@
 	endsStoredTimeout = 150 * time.Millisecond
 	// orderTimeout bounds a start, stop or speed order.
 	orderTimeout = 700 * time.Millisecond
-	// ordersPerWorker limits the concurrent orders to one worker.
-	ordersPerWorker = 12
 )
 
+// OrdersPerWorker is the number of concurrent orders that a process sends to one worker, beside a request for a report. It
+// is small: a machine without power leaves its connections open at the worker, which accepts a limited number of them.
+const OrdersPerWorker = 2
+
 // link is the connection of a shard to one worker.
 type link struct {
 	shard        *shard
@@ -56,7 +58,7 @@
 func newLink(s *shard, p *job.Pool, worker string) *link {
 	return &link{
 		shard: s, pool: p, worker: worker,
-		orderSlots:   make(chan struct{}, ordersPerWorker),
+		orderSlots:   make(chan struct{}, OrdersPerWorker),
 		commitStored: make(chan struct{}, 1),
 	}
 }
