job: a new owner restores all occurrences that the earlier one had created

Cause: a new owner creates the due occurrences of a loaded job one by one as long as the memory budget has room. The budget was free when the earlier owner created them and is fuller now. Stored progress and reported ends of an occurrence that is not created were skipped, the next record of progress left them out, and when memory became free the occurrence was created without its ends.

Change: occurrences up to the last one with stored progress are created whatever the budget; so are those of which a worker reports a run, as far as the record of progress can hold them, since a run shows that an earlier owner had created the occurrence.

Result: TestFullMemoryForgetsNoOccurrence failed before (tasks of both occurrences were started again) and passes.

--- a/job/pool.go
+++ b/job/pool.go
@@ -151,6 +151,7 @@
 	firstUnfinished int           // lowest occurrence that is not done
 	nextDue         int           // lowest occurrence that is not yet due
 	occurrences     map[int]*occurrence
+	loaded          bool // accepted by an earlier owner
 	dirtySpec       bool
 	dirtyProgress   bool
 	removed         bool // to be deleted from the store
@@ -198,7 +199,7 @@
 
 func (p *Pool) restoreJob(lj LoadedJob, now Time) {
 	j := &jobState{
-		spec: lj.Spec, phase: lj.Phase, storedPhase: lj.Phase, stored: true, endMs: lj.EndMs,
+		spec: lj.Spec, phase: lj.Phase, storedPhase: lj.Phase, stored: true, loaded: true, endMs: lj.EndMs,
 		acceptedAt:      now.Steady - time.Duration(now.WallMs-lj.Spec.AcceptedMs)*time.Millisecond,
 		firstUnfinished: lj.progress.First,
 		nextDue:         lj.progress.First,
@@ -212,6 +213,7 @@
 	p.open[lj.Spec.ID] = j
 	p.createDueOccurrences(j, now)
 	for _, r := range lj.progress.Tasks {
+		p.restoreOccurrences(j, r.Occurrence, now)
 		t := p.task(TaskID{Job: j.spec.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
 		if t == nil {
 			continue
@@ -242,10 +244,41 @@
 		if j.spec.Occurrences > 0 && now.WallMs < j.spec.StartMs+int64(j.nextDue)*j.spec.IntervalMs {
 			return
 		}
-		j.occurrences[j.nextDue] = newOccurrence(j, j.nextDue, now)
-		j.nextDue++
-		p.countMemory(j)
+		p.createOccurrence(j, now)
+	}
+}
+
+// createOccurrence creates the next occurrence of a job.
+func (p *Pool) createOccurrence(j *jobState, now Time) {
+	j.occurrences[j.nextDue] = newOccurrence(j, j.nextDue, now)
+	j.nextDue++
+	p.countMemory(j)
+}
+
+// restoreOccurrences creates the occurrences of a job up to a number that an earlier owner has created. They need no memory in
+// the budget: without them the owner would forget what is done of them.
+func (p *Pool) restoreOccurrences(j *jobState, number int, now Time) {
+	for j.nextDue <= min(number, max(1, j.spec.Occurrences)-1) {
+		p.createOccurrence(j, now)
+	}
+}
+
+// reportedTask returns the task of a run that a worker reports, or nil. It creates the occurrence of the task if an earlier owner had
+// created it, as the run shows, and this one has had no memory for it.
+func (p *Pool) reportedTask(id TaskID, now Time) *task {
+	j := p.jobs[id.Job]
+	if j != nil && j.loaded && j.phase == Active && id.Occurrence-j.firstUnfinished < p.maxOccurrences(j) {
+		p.restoreOccurrences(j, id.Occurrence, now)
+	}
+	return p.task(id)
+}
+
+// maxOccurrences returns how many occurrences of a job may exist at the same time, whatever the memory.
+func (p *Pool) maxOccurrences(j *jobState) int {
+	if p.cfg.RecordBytes <= 0 {
+		return max(1, j.spec.Occurrences)
 	}
+	return max(1, maxTasks(p.cfg.RecordBytes)/max(1, j.spec.tasks()))
 }
 
 // mayCreateOccurrence reports whether the tasks of another occurrence may exist beside those of the existing ones.
@@ -253,11 +286,10 @@
 	if len(j.occurrences) == 0 {
 		return true
 	}
-	tasks := j.spec.tasks()
-	if p.cfg.RecordBytes > 0 && (len(j.occurrences)+1)*tasks > maxTasks(p.cfg.RecordBytes) {
+	if p.cfg.RecordBytes > 0 && len(j.occurrences) >= p.maxOccurrences(j) {
 		return false
 	}
-	return p.cfg.Memory.admits(j.spec.flow(), int64(tasks)*taskMemory)
+	return p.cfg.Memory.admits(j.spec.flow(), int64(j.spec.tasks())*taskMemory)
 }
 
 func newOccurrence(j *jobState, number int, now Time) *occurrence {
--- a/job/report.go
+++ b/job/report.go
@@ -142,7 +142,7 @@
 		r.checkpoint, r.progress, r.usage = rt.Checkpoint, rt.Progress, rt.Usage
 		return
 	}
-	t := p.task(rt.Task)
+	t := p.reportedTask(rt.Task, now)
 	if t == nil || t.done || t.run != nil || t.job.phase != Active {
 		if w.strays == nil {
 			w.strays = make(map[TaskID]int)
@@ -163,7 +163,7 @@
 // applyEnd applies the reported end of a run.
 func (p *Pool) applyEnd(w *worker, e EndedTask, now Time) {
 	p.event(Event{Kind: "run ended", Task: e.Task, Run: e.Run, Worker: w.info.ID, Reason: string(e.Outcome)})
-	t := p.task(e.Task)
+	t := p.reportedTask(e.Task, now)
 	if t == nil {
 		return
 	}
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -11,10 +11,11 @@
 	return restoredPoolOf(t, oneStep("x", 1, 1000))
 }
 
-func restoredPoolOf(t *testing.T, s *Spec) *testPool {
+func restoredPoolOf(t *testing.T, s *Spec, progress ...taskRecord) *testPool {
 	t.Helper()
 	s.Pool, s.Queue, s.Attempts = "pool", "queue", 2
 	loaded := Decode([]Record{
+		{Key: keyProgress + "x", Value: encode(progressRecord{Tasks: progress})},
 		{Key: keySpec + "x", Value: encode(specRecord{Phase: Active, Spec: s})},
 		{Key: keyWorker + "old", Value: encode(workerRecord{Pool: "pool", Info: WorkerInfo{ID: "old", Capacity: Resources{CPU: 4000, MemMB: 4000}}})},
 	})
@@ -24,7 +25,7 @@
 	now := Time{Steady: time.Hour, WallMs: 1_000_000}
 	p := &testPool{t: t, now: now, Pool: New(Config{
 		Pool: "pool", MinRunNumber: 65, MaxLease: 5 * time.Second, InheritedLease: 7 * time.Second,
-		FinishedRetention: time.Minute, CrossRackFactor: 2,
+		FinishedRetention: time.Minute, CrossRackFactor: 2, Memory: NewMemoryBudget(1),
 	}, now)}
 	p.Restore(loaded, now)
 	p.UpdateDirectory([]WorkerInfo{{ID: "a", Capacity: Resources{CPU: 4000, MemMB: 4000}}}, now)
@@ -230,3 +231,22 @@
 		t.Fatalf("%d starts after InheritedFleetTimeout, want 1", len(s))
 	}
 }
+
+// TestFullMemoryForgetsNoOccurrence guards against tasks that run again because a new owner has no memory for occurrences that
+// the earlier one had created.
+func TestFullMemoryForgetsNoOccurrence(t *testing.T) {
+	s := oneStep("x", 1, 1000)
+	s.Occurrences, s.IntervalMs = 4, 1
+	p := restoredPoolOf(t, s, taskRecord{Occurrence: 1, Done: true})
+	p.ends("a", EndedTask{Seq: 1, Task: TaskID{Job: "x", Occurrence: 2}, Run: 1, Outcome: EndDone})
+	p.commit()
+	p.WorkerGone("old", p.now)
+	p.cfg.Memory = nil
+	p.advance(time.Minute)
+	p.report("a")
+	for _, o := range starts(p.tick()) {
+		if o.Task.Occurrence == 1 || o.Task.Occurrence == 2 {
+			t.Errorf("task %+v is started again after it was done", o.Task)
+		}
+	}
+}
