job: an occurrence that becomes due after a takeover waits as the earlier ones do

Cause: the tasks of occurrences that exist at the takeover are marked as inherited: while a worker has not reported, they may run there for an earlier owner. Occurrences that became due later were created without the mark. The earlier owner learns of its replacement with its next join and is confirmed for up to 1.5 s more; it starts them on a worker that the new owner does not reach, and the new one elsewhere.

Change: an occurrence of a job that an earlier owner has accepted is inherited if it is created before all leases of that owner have ended. With the clocks of two nodes apart the earlier owner may start one that is due only seconds later here, so no shorter time is taken. It is deferred only while a worker has not reported.

Result: TestOccurrenceDueAfterTakeoverWaits failed before (started 1 s after the takeover) and passes.

--- a/job/pool.go
+++ b/job/pool.go
@@ -223,9 +223,6 @@
 			p.setDone(t)
 		}
 	}
-	for _, o := range j.occurrences {
-		o.eachTask(func(t *task) { t.inherited = true })
-	}
 }
 
 func (o *occurrence) eachTask(f func(*task)) {
@@ -248,9 +245,14 @@
 	}
 }
 
-// createOccurrence creates the next occurrence of a job.
+// createOccurrence creates the next occurrence of a job. An earlier owner that has accepted the job may not know yet that it was
+// replaced, and start the occurrence, too, until its leases have ended.
 func (p *Pool) createOccurrence(j *jobState, now Time) {
-	j.occurrences[j.nextDue] = newOccurrence(j, j.nextDue, now)
+	o := newOccurrence(j, j.nextDue, now)
+	if j.loaded && p.inheritedLeasesActive(now) {
+		o.eachTask(func(t *task) { t.inherited = true })
+	}
+	j.occurrences[j.nextDue] = o
 	j.nextDue++
 	p.countMemory(j)
 }
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -250,3 +250,23 @@
 		}
 	}
 }
+
+// TestOccurrenceDueAfterTakeoverWaits guards against an occurrence that is started by two owners, because it becomes due
+// before the earlier one knows that it was replaced, on a worker that the new one does not reach.
+func TestOccurrenceDueAfterTakeoverWaits(t *testing.T) {
+	s := oneStep("x", 1, 1000)
+	s.Occurrences, s.StartMs = 1, 1_001_000
+	p := restoredPoolOf(t, s)
+	for range 6 {
+		p.advance(time.Second)
+		p.report("a")
+		if o := starts(p.tick()); len(o) != 0 {
+			t.Fatalf("started %+v while worker old may still run the task", o)
+		}
+	}
+	p.advance(time.Second)
+	p.report("a")
+	if o := starts(p.tick()); len(o) != 1 {
+		t.Fatalf("%d starts after the lease of worker old expired, want 1", len(o))
+	}
+}
