jobmanager: an owner that joins again orders nothing before the store has confirmed it

Cause: a node whose membership had expired kept each shard that the list gave it again with its next join, with the old epoch, and was confirmed by that join. Another node may have owned the shard in between; so it may after any change of the group. Only the next append of the shard showed it, and lost answers of the store delay that.

Change: after a join that was sent when the membership had expired, and after each change of the group, a shard sends no orders, to workers or machines, until the store has accepted an append that began later. If another node has claimed the shard the store refuses it, and the ownership ends.

A weak node that owns shards no longer logs that it waits when its membership lapses.

--- a/jobmanager/commit_test.go
+++ b/jobmanager/commit_test.go
@@ -22,6 +22,7 @@
 	storeUp int32 = iota
 	storeRejects
 	storeHangs
+	storeFences
 )
 
 func (s *faultyStore) Load(context.Context, int) ([]job.Record, int64, error) { return nil, 0, nil }
@@ -34,6 +35,8 @@
 	switch s.mode.Load() {
 	case storeRejects:
 		return errors.Wrap(ErrNoEffect, "status 503")
+	case storeFences:
+		return ErrFenced
 	case storeHangs:
 		select {
 		case <-ctx.Done():
--- a/jobmanager/fleetloop.go
+++ b/jobmanager/fleetloop.go
@@ -103,7 +103,7 @@
 func (f *fleetLoop) round() {
 	now := f.node.clock.Now()
 	config := f.node.Config()
-	if config == nil || !f.node.confirmed(now) || f.shard.releasing.Load() {
+	if config == nil || !f.mayOrder(now) {
 		return
 	}
 	if now.Steady-f.listedAt >= machineListInterval {
@@ -115,7 +115,7 @@
 	loads := f.poolLoads(config)
 	f.loads = loads
 	now = f.node.clock.Now()
-	if !f.node.confirmed(now) || f.shard.releasing.Load() {
+	if !f.mayOrder(now) {
 		return
 	}
 	plan := f.plan(config, loads, now)
@@ -129,6 +129,11 @@
 	f.publishWaves(plan)
 }
 
+// mayOrder reports whether the controller may send orders as the owner of the fleet shard.
+func (f *fleetLoop) mayOrder(now job.Time) bool {
+	return f.node.confirmed(now) && f.shard.ownershipVerified() && !f.shard.releasing.Load()
+}
+
 // plan executes one round of the controller.
 func (f *fleetLoop) plan(config *Config, loads map[string]fleet.Load, now job.Time) fleet.Plan {
 	f.mu.Lock()
--- a/jobmanager/log.go
+++ b/jobmanager/log.go
@@ -47,6 +47,7 @@
 	//   - "fleet: controller may send orders": until the controller may send orders
 	//   - "config: applied": since the response that contained the version began to arrive
 	//   - "config: behind": since the time at which the oldest record that the node has not applied may have been there
+	//   - "node: waits for strong members", "node: taking over from strong members": since a strong member was last proved alive
 	//   - "keys: call refused": since the beginning of the last read that showed all of the operators' records; -1 if there is none
 	AgeMs int64
 	// Count is a number whose meaning depends on the event:
--- a/jobmanager/membership.go
+++ b/jobmanager/membership.go
@@ -56,6 +56,7 @@
 		}
 		changed := m.Generation != generation
 		generation = m.Generation
+		n.doubtOwnerships(changed, sent)
 		if changed && n.settling(sent) {
 			n.confirmMembership(sent)
 			sleep(n.ctx, settlePause)
--- a/jobmanager/node.go
+++ b/jobmanager/node.go
@@ -79,9 +79,9 @@
 
 	connectedOwners map[int]string // owners to which connections are kept; used by followOwners only
 
-	// substitutes is whether a node that is not strong owns shards in place of strong members, and since when. Used by
-	// maintainMembership only.
-	substitutes      bool
+	// substitutes means that a node that is not strong owns shards in place of strong members. It is set by maintainMembership
+	// only, which alone uses substitutesSince.
+	substitutes      atomic.Bool
 	substitutesSince time.Duration
 
 	operatorsMu sync.Mutex // held while a change of the operators is applied
--- a/jobmanager/shard.go
+++ b/jobmanager/shard.go
@@ -102,6 +102,10 @@
 	appendsClosed                      bool                 // no append may follow the release record; later changes are left to the successor
 	// serving means that the shard's records are loaded.
 	serving atomic.Bool
+	// doubts counts the times at which another node may have owned the shard since it was claimed, and settledDoubts those
+	// that an append has settled since.
+	doubts, settledDoubts atomic.Int64
+	verifyingDoubts       int64 // doubts that the append in progress settles
 	// releasing means that the shard is being handed over: no new jobs are accepted and no orders are sent.
 	releasing         atomic.Bool
 	commitStartedAt   time.Duration // start of the commit in progress; 0 if there is none
@@ -286,6 +290,11 @@
 		s.commit(now)
 		return
 	}
+	if !s.ownershipVerified() {
+		s.verifyOwnership()
+		s.commit(now)
+		return
+	}
 	s.endEvacuations(now)
 	s.takeOverQueues(now)
 	for name, p := range s.pools {
--- a/jobmanager/takeoverwait.go
+++ b/jobmanager/takeoverwait.go
@@ -76,14 +76,12 @@
 	}))
 }
 
-// strongSilence returns the time since a strong member was last proved alive; 0 on a strong node and on a member of the
-// group.
+// strongSilence returns the time since a strong member was last proved alive; 0 on a node that does not wait for one.
 func (n *Node) strongSilence() time.Duration {
-	now := n.clock.Now()
-	if n.settings.strong() || n.confirmed(now) {
+	if n.settings.strong() || n.substitutes.Load() {
 		return 0
 	}
-	return n.strongMembers.unprovenFor(now.Steady)
+	return n.strongMembers.unprovenFor(n.clock.Now().Steady)
 }
 
 // takeoverIn returns the time after which a node that is not strong is expected to answer for a shard of which the strong owner is
--- a/jobmanager/weaknode.go
+++ b/jobmanager/weaknode.go
@@ -30,22 +30,23 @@
 	switch {
 	case n.settings.strong():
 		return true
-	case !n.substitutes && n.strongMembers.gone(now.Steady):
+	case !n.substitutes.Load() && n.strongMembers.gone(now.Steady):
 		n.log.Event(LogEvent{
 			Component: "node", Event: "taking over from strong members",
 			AgeMs: n.strongMembers.unprovenFor(now.Steady).Milliseconds(), Reason: n.describeStrongMembers(now.Steady),
 		})
-		n.substitutes, n.substitutesSince = true, now.Steady
-	case n.substitutes && n.strongMembers.back(now.Steady):
-		n.substitutes = false
+		n.substitutesSince = now.Steady
+		n.substitutes.Store(true)
+	case n.substitutes.Load() && n.strongMembers.back(now.Steady):
+		n.substitutes.Store(false)
 	}
-	return n.substitutes
+	return n.substitutes.Load()
 }
 
 // settling reports whether the node has joined the group so recently in place of strong members, together with others, that
 // the shards assigned to it may soon go to those.
 func (n *Node) settling(now job.Time) bool {
-	return n.substitutes && !n.ownsAnyShard() && now.Steady-n.substitutesSince < settleTime
+	return n.substitutes.Load() && !n.ownsAnyShard() && now.Steady-n.substitutesSince < settleTime
 }
 
 // yieldToStrongNodes releases the shards of a node that is not strong, because strong nodes are available again.
